Add the design page, the Maven build and the shared model

Cause: the project has no code yet, and its parts are to be built in parallel. Change: docs/design.md fixes requirements, ownership, log rules, messages, interfaces and modules. The build has six modules with Spotless, Error Prone and Checkstyle as failing checks. core.model, core.state, core.settings and the log port are the types that all modules share. Conclusion: the modules can be built independently against these types.

--- /dev/null
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Policy benchmark, capacity slopes and path benchmark. */
+package io.magnoliaroute.bench;
--- /dev/null
+++ b/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool. */
+package io.magnoliaroute.cli;
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/log/LogPort.java
@@ -0,0 +1,20 @@
+package io.magnoliaroute.core.log;
+
+import io.magnoliaroute.core.model.Bytes;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+/**
+ * The platform's append-only log.
+ *
+ * <p>Both methods complete exceptionally with a {@link LogException}. An append that fails with
+ * {@link LogException.Kind#TIMED_OUT} may still take effect later.
+ */
+public interface LogPort {
+
+  /** Appends the records in one batch and returns the offset of the first; the rest follow it. */
+  CompletionStage<Long> append(String stream, List<Bytes> records);
+
+  /** Reads up to {@code maxRecords} records from the offset on. An empty page is not an error. */
+  CompletionStage<LogPage> read(String stream, long fromOffset, int maxRecords);
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/model/TeamId.java
@@ -0,0 +1,20 @@
+package io.magnoliaroute.core.model;
+
+/** Identifies a team, the tenant that programs and budgets belong to. */
+public record TeamId(String value) implements Comparable<TeamId> {
+
+  /** Rejects a value that is empty, too long or has characters outside {@code [A-Za-z0-9._-]}. */
+  public TeamId {
+    Identifiers.requireName("team", value);
+  }
+
+  @Override
+  public int compareTo(TeamId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers, enums and immutable values shared by all modules. */
+package io.magnoliaroute.core.model;
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/ToolRule.java
@@ -0,0 +1,18 @@
+package io.magnoliaroute.core.settings;
+
+import io.magnoliaroute.core.model.PoolId;
+import java.util.Set;
+
+/**
+ * Which operations of a service a team may call.
+ *
+ * @param service the pool of the service
+ * @param operations the operations allowed
+ */
+public record ToolRule(PoolId service, Set<String> operations) {
+
+  /** Copies the operations. */
+  public ToolRule {
+    operations = Set.copyOf(operations);
+  }
+}
--- /dev/null
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between VMs: types, MessagePack codec and framing. */
+package io.magnoliaroute.wire;
