Add the public API of the group scheduler

Cause: the daemon is built at the same time and needs stable types for offers, grants, observations, results and preemptions.

--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/RefusalReason.java
@@ -0,0 +1,24 @@
+package io.magnoliaroute.core.schedule;
+
+/** Why a call was refused as not run. */
+public enum RefusalReason {
+  /** The deadline cannot be met behind the work that is already accepted. */
+  DEADLINE_UNREACHABLE("deadline_unreachable"),
+  /** The queue of the group is full. */
+  QUEUE_FULL("queue_full"),
+  /** The group has no endpoint that may take new work. */
+  NO_ENDPOINT("no_endpoint"),
+  /** The call is already waiting or has a slot. */
+  DUPLICATE_CALL("duplicate_call");
+
+  private final String wireName;
+
+  RefusalReason(String wireName) {
+    this.wireName = wireName;
+  }
+
+  /** Returns the name used in replies and counters. */
+  public String wireName() {
+    return wireName;
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/WaitingCall.java
@@ -0,0 +1,203 @@
+package io.magnoliaroute.core.schedule;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.DataCentreId;
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.PriorityClass;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.settings.UrgentRation;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * A call that asks for a slot. It carries everything the decision needs, so that a new group owner
+ * can decide without state of its own.
+ *
+ * @param id the call
+ * @param rootProgram the root of the program tree that the call belongs to
+ * @param team the team of the program
+ * @param teamShare the weight of the team where teams share capacity, at least 1
+ * @param urgentRation the ration of urgent calls of the team
+ * @param priority the class that the program asked for
+ * @param dataCentre where the partition owner of the call runs
+ * @param arrivedMs when the call arrived
+ * @param deadlineMs when the whole program must be finished, absolute
+ * @param promptTokens tokens of the prompt with the history
+ * @param cachedPrefixTokens prompt tokens expected in the prefix cache of each endpoint
+ * @param attainedServiceUnits service that the program tree has had, see {@link ServiceUnits}
+ * @param underWay whether the program has had a call accepted before
+ * @param model the model that the call needs; empty for a plain service
+ * @param idempotent whether the call may run twice
+ * @param remainingServiceUnits the service left to the program, for the clairvoyant baseline only;
+ *     0 where not known
+ */
+public record WaitingCall(
+    CallId id,
+    ProgramId rootProgram,
+    TeamId team,
+    int teamShare,
+    UrgentRation urgentRation,
+    PriorityClass priority,
+    DataCentreId dataCentre,
+    long arrivedMs,
+    long deadlineMs,
+    int promptTokens,
+    Map<EndpointId, Integer> cachedPrefixTokens,
+    long attainedServiceUnits,
+    boolean underWay,
+    String model,
+    boolean idempotent,
+    long remainingServiceUnits) {
+
+  private static final UrgentRation NO_RATION = new UrgentRation(0, 0);
+
+  /** Rejects missing parts and numbers out of range. */
+  public WaitingCall {
+    Objects.requireNonNull(id, "id");
+    Objects.requireNonNull(rootProgram, "rootProgram");
+    Objects.requireNonNull(team, "team");
+    Objects.requireNonNull(urgentRation, "urgentRation");
+    Objects.requireNonNull(priority, "priority");
+    Objects.requireNonNull(dataCentre, "dataCentre");
+    Objects.requireNonNull(model, "model");
+    if (teamShare < 1) {
+      throw new IllegalArgumentException("teamShare must be positive, was " + teamShare);
+    }
+    if (promptTokens < 0) {
+      throw new IllegalArgumentException("promptTokens must not be negative, was " + promptTokens);
+    }
+    if (attainedServiceUnits < 0) {
+      throw new IllegalArgumentException(
+          "attainedServiceUnits must not be negative, was " + attainedServiceUnits);
+    }
+    cachedPrefixTokens = Map.copyOf(cachedPrefixTokens);
+  }
+
+  /** Returns a builder for a call of a program that is its own root. */
+  public static Builder builder(CallId id, TeamId team, DataCentreId dataCentre) {
+    return new Builder(id, team, dataCentre);
+  }
+
+  /** Returns the prompt tokens expected in the prefix cache of the endpoint. */
+  public int cachedPrefixTokensAt(EndpointId endpoint) {
+    return Math.min(promptTokens, cachedPrefixTokens.getOrDefault(endpoint, 0));
+  }
+
+  /** Builds a call; what is not set has the default of its setter's description. */
+  public static final class Builder {
+
+    private final CallId id;
+    private final TeamId team;
+    private final DataCentreId dataCentre;
+    private ProgramId rootProgram;
+    private int teamShare = 1;
+    private UrgentRation urgentRation = NO_RATION;
+    private PriorityClass priority = PriorityClass.NORMAL;
+    private long arrivedMs;
+    private long deadlineMs = Long.MAX_VALUE;
+    private int promptTokens;
+    private Map<EndpointId, Integer> cachedPrefixTokens = Map.of();
+    private long attainedServiceUnits;
+    private boolean underWay;
+    private String model = "";
+    private boolean idempotent;
+    private long remainingServiceUnits;
+
+    private Builder(CallId id, TeamId team, DataCentreId dataCentre) {
+      this.id = id;
+      this.team = team;
+      this.dataCentre = dataCentre;
+      this.rootProgram = id.program();
+    }
+
+    /** Sets the root of the program tree; default: the program of the call. */
+    public Builder rootProgram(ProgramId value) {
+      rootProgram = value;
+      return this;
+    }
+
+    /** Sets the weight of the team; default: 1. */
+    public Builder teamShare(int value) {
+      teamShare = value;
+      return this;
+    }
+
+    /** Sets the ration of urgent calls of the team; default: none, so urgent calls are demoted. */
+    public Builder urgentRation(UrgentRation value) {
+      urgentRation = value;
+      return this;
+    }
+
+    /** Sets the class; default: normal. */
+    public Builder priority(PriorityClass value) {
+      priority = value;
+      return this;
+    }
+
+    /** Sets the arrival and the absolute deadline; default: 0 and no deadline. */
+    public Builder times(long newArrivedMs, long newDeadlineMs) {
+      arrivedMs = newArrivedMs;
+      deadlineMs = newDeadlineMs;
+      return this;
+    }
+
+    /** Sets the prompt and what each endpoint is expected to have cached of it; default: none. */
+    public Builder prompt(int tokens, Map<EndpointId, Integer> cachedTokens) {
+      promptTokens = tokens;
+      cachedPrefixTokens = cachedTokens;
+      return this;
+    }
+
+    /** Sets the service that the program tree has had; default: none. */
+    public Builder attainedServiceUnits(long value) {
+      attainedServiceUnits = value;
+      return this;
+    }
+
+    /** Sets whether the program has had a call accepted before; default: no. */
+    public Builder underWay(boolean value) {
+      underWay = value;
+      return this;
+    }
+
+    /** Sets the model; default: none, a plain service. */
+    public Builder model(String value) {
+      model = value;
+      return this;
+    }
+
+    /** Sets whether the call may run twice; default: no. */
+    public Builder idempotent(boolean value) {
+      idempotent = value;
+      return this;
+    }
+
+    /** Sets the service left to the program, for the clairvoyant baseline only; default: 0. */
+    public Builder remainingServiceUnits(long value) {
+      remainingServiceUnits = value;
+      return this;
+    }
+
+    /** Returns the call. */
+    public WaitingCall build() {
+      return new WaitingCall(
+          id,
+          rootProgram,
+          team,
+          teamShare,
+          urgentRation,
+          priority,
+          dataCentre,
+          arrivedMs,
+          deadlineMs,
+          promptTokens,
+          cachedPrefixTokens,
+          attainedServiceUnits,
+          underWay,
+          model,
+          idempotent,
+          remainingServiceUnits);
+    }
+  }
+}
