Implement order, admission, routing, health, preemption and hedges

Cause: the first version of the group scheduler served classes in order at the endpoint with the fewest calls and had no other decision.

Change: class queues with weighted team shares and an order by arrival, deadline slack and attained service; urgent rations; admission by the expected remaining service of accepted programs; endpoint choice by cost in milliseconds; endpoint health against the group's median; preemption of bulk streams; hedges by permission; grant expiry.

The module builds.

--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/CallQueues.java
@@ -0,0 +1,107 @@
+package io.magnoliaroute.core.schedule;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.PriorityClass;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The waiting calls of all classes. */
+final class CallQueues {
+
+  private static final PriorityClass[] CLASSES = PriorityClass.values();
+
+  private final SchedulerLimits limits;
+  private final Map<CallId, QueuedCall> byId = new HashMap<>();
+  private final ClassQueue[] classes = new ClassQueue[CLASSES.length];
+  private int dispatchesSinceEscape;
+
+  CallQueues(SchedulerLimits limits) {
+    this.limits = limits;
+    for (int rank = 0; rank < classes.length; rank++) {
+      classes[rank] = new ClassQueue();
+    }
+  }
+
+  int size() {
+    return byId.size();
+  }
+
+  int size(PriorityClass priority) {
+    return classes[priority.rank()].size();
+  }
+
+  /** Returns the number of calls in the class and in classes before it. */
+  int sizeUpTo(PriorityClass priority) {
+    int size = 0;
+    for (int rank = 0; rank <= priority.rank(); rank++) {
+      size += classes[rank].size();
+    }
+    return size;
+  }
+
+  boolean contains(CallId id) {
+    return byId.containsKey(id);
+  }
+
+  void add(QueuedCall queued) {
+    byId.put(queued.call.id(), queued);
+    classes[queued.served.rank()].add(queued);
+  }
+
+  /** Removes and returns a waiting call, or returns null. */
+  QueuedCall remove(CallId id) {
+    QueuedCall queued = byId.remove(id);
+    if (queued != null) {
+      classes[queued.served.rank()].remove(queued);
+    }
+    return queued;
+  }
+
+  /** Removes and returns the next call of one class, or null. */
+  QueuedCall poll(PriorityClass priority, long nowMs) {
+    QueuedCall next = classes[priority.rank()].poll(limits.ageingBoundMs(), nowMs);
+    if (next != null) {
+      byId.remove(next.call.id());
+    }
+    return next;
+  }
+
+  /**
+   * Removes and returns the oldest call of a class after the given one that has passed its ageing
+   * bound, where one dispatch in {@code escapeInterval} is due to it; or returns null.
+   */
+  QueuedCall pollEscape(PriorityClass before, long nowMs) {
+    if (dispatchesSinceEscape < limits.escapeInterval() - 1) {
+      return null;
+    }
+    QueuedCall oldest = null;
+    for (int rank = before.rank() + 1; rank < classes.length; rank++) {
+      QueuedCall aged = classes[rank].aged(limits.ageingBoundMs(), nowMs);
+      if (aged != null && (oldest == null || QueuedCall.BY_ARRIVAL.compare(aged, oldest) < 0)) {
+        oldest = aged;
+      }
+    }
+    return oldest == null ? null : remove(oldest.call.id());
+  }
+
+  /** Returns the waiting calls of one class, oldest first. */
+  Iterable<QueuedCall> waiting(PriorityClass priority) {
+    return classes[priority.rank()].byArrival();
+  }
+
+  /** Counts a dispatch from an unreserved slot. */
+  void dispatched(boolean escaped) {
+    dispatchesSinceEscape = escaped ? 0 : dispatchesSinceEscape + 1;
+  }
+
+  /** Charges service to the team of a call; a negative amount gives service back. */
+  void charge(QueuedCall queued, double units) {
+    classes[queued.served.rank()].charge(queued.call.team(), queued.call.teamShare(), units);
+  }
+
+  void forgetIdleTeams() {
+    for (ClassQueue queue : classes) {
+      queue.forgetIdleTeams();
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/RunningCalls.java
@@ -0,0 +1,66 @@
+package io.magnoliaroute.core.schedule;
+
+import io.magnoliaroute.core.model.CallId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The grants in use, by grant id in the order of their latest observation. */
+final class RunningCalls {
+
+  private final Map<Long, RunningCall> byGrant = new LinkedHashMap<>();
+  private final Map<CallId, Integer> grantsOfCall = new HashMap<>();
+
+  void add(RunningCall running) {
+    byGrant.put(running.grant.grantId(), running);
+    grantsOfCall.merge(running.grant.call(), 1, Integer::sum);
+  }
+
+  /** Returns the grant where it is in use and belongs to the call, or null. */
+  RunningCall find(CallId id, long grantId) {
+    RunningCall running = byGrant.get(grantId);
+    return running != null && running.grant.call().equals(id) ? running : null;
+  }
+
+  void remove(RunningCall running) {
+    byGrant.remove(running.grant.grantId());
+    grantsOfCall.computeIfPresent(running.grant.call(), (id, n) -> n == 1 ? null : n - 1);
+  }
+
+  boolean contains(CallId id) {
+    return grantsOfCall.containsKey(id);
+  }
+
+  boolean isHedged(CallId id) {
+    return grantsOfCall.getOrDefault(id, 0) > 1;
+  }
+
+  void seen(RunningCall running, long nowMs) {
+    running.lastSeenMs = Math.max(running.lastSeenMs, nowMs);
+    byGrant.remove(running.grant.grantId());
+    byGrant.put(running.grant.grantId(), running);
+  }
+
+  /** Returns grants without an observation for the given time. */
+  List<RunningCall> silentFor(long expiryMs, long nowMs) {
+    List<RunningCall> expired = new ArrayList<>();
+    for (RunningCall running : byGrant.values()) {
+      if (nowMs - running.lastSeenMs < expiryMs) {
+        break;
+      }
+      expired.add(running);
+    }
+    return expired;
+  }
+
+  Collection<RunningCall> all() {
+    return byGrant.values();
+  }
+
+  int size() {
+    return byGrant.size();
+  }
+}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/SchedulerLimits.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/SchedulerLimits.java
@@ -8,8 +8,8 @@
  * @param escapeInterval dispatches from unreserved slots for each one to an aged lower class
  * @param grantExpiryMs time without an observation after which a slot is taken back
  * @param maxWaitingCalls calls that may wait in the group
- * @param deadlineMarginPercent predicted program time is multiplied by this before it is compared
- *     with the deadline, because predictions are wrong both ways
+ * @param deadlineMarginPercent the predicted wait of a new program is multiplied by this before it
+ *     is compared with the time to its deadline; the mean is predicted and the slowest must be met
  * @param programLapseMs time without a call after which a program counts as ended
  */
 public record SchedulerLimits(
@@ -32,7 +32,7 @@
 
   /** Returns the limits in force where nothing sets them. */
   public static SchedulerLimits defaults() {
-    return new SchedulerLimits(30_000, 8, 30_000, 20_000, 130, 120_000);
+    return new SchedulerLimits(30_000, 8, 30_000, 20_000, 200, 120_000);
   }
 
   private static void requirePositive(String name, long value) {
