--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/Rendezvous.java
@@ -0,0 +1,60 @@
+package io.magnoliaroute.core.membership;
+
+import io.magnoliaroute.core.model.Hashing;
+import io.magnoliaroute.core.model.VmId;
+import java.util.Collection;
+
+/**
+ * Chooses owners by rendezvous hashing: the VM with the highest hash of key and VM owns the key.
+ * When a VM joins or leaves, only the keys that it gains or held move.
+ */
+public final class Rendezvous {
+
+  private Rendezvous() {}
+
+  /**
+   * Returns the owner of the key. The result does not depend on the order of the VMs.
+   *
+   * @throws IllegalArgumentException if no VM is given
+   */
+  public static VmId owner(String key, Collection<VmId> live) {
+    if (live.isEmpty()) {
+      throw new IllegalArgumentException("no live VM to own key '" + key + "'");
+    }
+    long keyHash = Hashing.fnv1a64(key);
+    VmId best = null;
+    long bestScore = 0;
+    for (VmId vm : live) {
+      long score = score(keyHash, vm);
+      if (best == null || isBetter(score, vm, bestScore, best)) {
+        best = vm;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /** Returns the key of an endpoint group. */
+  public static String groupKey(String groupName) {
+    return "group/" + groupName;
+  }
+
+  /** Returns the key of a program partition. */
+  public static String partitionKey(int partition) {
+    return "partition/" + partition;
+  }
+
+  /** Returns the key of the VM that asks for a team's budget slices on behalf of others. */
+  public static String sliceKey(String teamName) {
+    return "slice/" + teamName;
+  }
+
+  private static long score(long keyHash, VmId vm) {
+    return Hashing.mix(keyHash ^ Hashing.fnv1a64(vm.value()));
+  }
+
+  private static boolean isBetter(long score, VmId vm, long bestScore, VmId best) {
+    int order = Long.compareUnsigned(score, bestScore);
+    return order != 0 ? order > 0 : vm.compareTo(best) < 0;
+  }
+}
