--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipSettings.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipSettings.java
@@ -59,8 +59,7 @@
    * contact for up to one hour and are found again by probing the dead.
    */
   public static MembershipSettings defaults() {
-    return new MembershipSettings(
-        500, 200, 500, 2_000, 2, 1_000, 10_000, 1_000, 12, 48, 2 * HOUR_MS);
+    return new MembershipSettings(500, 200, 500, 2_000, 2, 1_000, 10_000, 500, 12, 64, 2 * HOUR_MS);
   }
 
   private static void requirePositive(String name, long value) {
