--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipCodec.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipCodec.java
@@ -78,19 +78,16 @@
       requireFields("message", MESSAGE_FIELDS, unpacker.unpackArrayHeader());
       int kind = unpacker.unpackInt();
       long sequence = unpacker.unpackLong();
-      switch (kind) {
-        case KIND_PING:
-          boolean tableWanted = unpacker.unpackBoolean();
-          return new Ping(sequence, tableWanted, readGossip(unpacker));
-        case KIND_PING_REQ:
-          VmId target = new VmId(unpacker.unpackString());
-          return new PingReq(sequence, target, readGossip(unpacker));
-        case KIND_ACK:
+      return switch (kind) {
+        case KIND_PING -> new Ping(sequence, unpacker.unpackBoolean(), readGossip(unpacker));
+        case KIND_PING_REQ ->
+            new PingReq(sequence, new VmId(unpacker.unpackString()), readGossip(unpacker));
+        case KIND_ACK -> {
           unpacker.unpackNil();
-          return new Ack(sequence, readGossip(unpacker));
-        default:
-          throw new MalformedMessageException("unknown kind of message: " + kind);
-      }
+          yield new Ack(sequence, readGossip(unpacker));
+        }
+        default -> throw new MalformedMessageException("unknown kind of message: " + kind);
+      };
     } catch (MessagePackException | IllegalArgumentException e) {
       throw new MalformedMessageException("not a membership message: " + e.getMessage(), e);
     }
