Check membership under a seeded network and fix outdated leaving marks

Cause: the controller had no tests.

Messages carry the newest list version that the sender has heard of, so that a VM lifts a mark only if no VM has a newer list. A list version is not negative.

Conclusion: views agree within the derived bound after each sequence.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/Gossip.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/Gossip.java
@@ -8,11 +8,16 @@
  *
  * @param sender the sender's report of itself
  * @param configVersion the settings version in force at the sender
+ * @param listVersion the newest version of the platform's list that the sender has or heard of
  * @param tableDigest a digest of the VMs that the sender does not hold for dead
  * @param deltas reports of other VMs, at most {@link #MAX_DELTAS}
  */
 public record Gossip(
-    MemberDelta sender, long configVersion, long tableDigest, List<MemberDelta> deltas) {
+    MemberDelta sender,
+    long configVersion,
+    long listVersion,
+    long tableDigest,
+    List<MemberDelta> deltas) {
 
   /** The most reports in one message; a longer list is refused. */
   public static final int MAX_DELTAS = 128;
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/GossipComposer.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/GossipComposer.java
@@ -11,14 +11,17 @@
 
   private final MembershipSettings settings;
   private final MemberTable table;
+  private final PeerDirectory peers;
   private final RandomGenerator random;
   private final DeltaQueue queue = new DeltaQueue();
   private VmId self;
   private long configVersion;
   private long nextPageMs = Long.MIN_VALUE;
 
-  GossipComposer(MembershipSettings settings, MemberTable table, RandomGenerator random) {
+  GossipComposer(
+      MembershipSettings settings, MemberTable table, PeerDirectory peers, RandomGenerator random) {
     this.settings = settings;
+    this.peers = peers;
     this.table = table;
     this.random = random;
   }
@@ -98,6 +101,11 @@
   private Gossip gossip(Map<VmId, MemberDelta> deltas) {
     MemberDelta sender = MemberTable.deltaOf(table.get(self).orElseThrow());
     deltas.remove(self);
-    return new Gossip(sender, configVersion, table.digest(), List.copyOf(deltas.values()));
+    return new Gossip(
+        sender,
+        configVersion,
+        peers.newestHeardVersion(),
+        table.digest(),
+        List.copyOf(deltas.values()));
   }
 }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/LocalMember.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/LocalMember.java
@@ -7,6 +7,7 @@
 
   private final MemberInfo info;
   private final MemberTable table;
+  private final PeerDirectory peers;
   private final GossipComposer composer;
   private final EventBuffer events;
   private boolean stopping;
@@ -15,11 +16,13 @@
       MemberInfo info,
       long startIncarnation,
       MemberTable table,
+      PeerDirectory peers,
       GossipComposer composer,
       EventBuffer events,
       long nowMs) {
     this.info = info;
     this.table = table;
+    this.peers = peers;
     this.composer = composer;
     this.events = events;
     composer.self(info.vm());
@@ -44,7 +47,8 @@
     if (!delta.supersedes(held.incarnation(), held.state())) {
       return;
     }
-    if (delta.state() == MemberState.LEAVING && delta.incarnation() == held.incarnation()) {
+    boolean marked = delta.state() == MemberState.LEAVING;
+    if (marked && delta.incarnation() == held.incarnation() && !isMarkOutdated()) {
       setState(MemberState.LEAVING, nowMs);
       events.ownLeavingMarked();
       return;
@@ -75,15 +79,19 @@
     setState(MemberState.DEAD, nowMs);
   }
 
-  /** Becomes alive again after the platform took its leaving mark back. */
+  /** Becomes alive again if the platform took its leaving mark back. */
   void liftPlatformMark(long nowMs) {
-    if (!stopping && held().state() == MemberState.LEAVING) {
+    if (isMarkOutdated() && held().state() == MemberState.LEAVING) {
       MemberState before = held().state();
       set(held().incarnation() + 1, MemberState.ALIVE, nowMs);
       events.stateChanged(vm(), before, MemberState.ALIVE, held().incarnation());
     }
   }
 
+  private boolean isMarkOutdated() {
+    return !stopping && peers.isListedLiveInNewest(vm());
+  }
+
   private Member held() {
     return table.get(info.vm()).orElseThrow();
   }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipCodec.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipCodec.java
@@ -20,8 +20,8 @@
  *
  * <p>A message is {@code [kind, sequence, argument, gossip]}, where the argument is the {@code
  * tableWanted} flag of a ping, the target of a ping request and nil for an ack. Gossip is {@code
- * [sender, configVersion, tableDigest, [delta...]]}, and a delta is {@code [vm, dataCentre, region,
- * host, port, incarnation, state]}.
+ * [sender, configVersion, listVersion, tableDigest, [delta...]]}, and a delta is {@code [vm,
+ * dataCentre, region, host, port, incarnation, state]}.
  */
 public final class MembershipCodec {
 
@@ -29,7 +29,7 @@
   private static final int KIND_PING_REQ = 1;
   private static final int KIND_ACK = 2;
   private static final int MESSAGE_FIELDS = 4;
-  private static final int GOSSIP_FIELDS = 4;
+  private static final int GOSSIP_FIELDS = 5;
   private static final int DELTA_FIELDS = 7;
 
   private MembershipCodec() {}
@@ -97,6 +97,7 @@
     packer.packArrayHeader(GOSSIP_FIELDS);
     writeDelta(gossip.sender(), packer);
     packer.packLong(gossip.configVersion());
+    packer.packLong(gossip.listVersion());
     packer.packLong(gossip.tableDigest());
     packer.packArrayHeader(gossip.deltas().size());
     for (MemberDelta delta : gossip.deltas()) {
@@ -109,6 +110,7 @@
     requireFields("gossip", GOSSIP_FIELDS, unpacker.unpackArrayHeader());
     MemberDelta sender = readDelta(unpacker);
     long configVersion = unpacker.unpackLong();
+    long listVersion = unpacker.unpackLong();
     long tableDigest = unpacker.unpackLong();
     int count = unpacker.unpackArrayHeader();
     if (count > Gossip.MAX_DELTAS) {
@@ -118,7 +120,7 @@
     for (int i = 0; i < count; i++) {
       deltas.add(readDelta(unpacker));
     }
-    return new Gossip(sender, configVersion, tableDigest, deltas);
+    return new Gossip(sender, configVersion, listVersion, tableDigest, deltas);
   }
 
   private static void writeDelta(MemberDelta delta, MessagePacker packer) throws IOException {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
@@ -62,8 +62,8 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.random = Objects.requireNonNull(random, "random");
     this.table = new MemberTable(settings.suspicionMs());
-    this.composer = new GossipComposer(settings, table, random);
-    this.local = new LocalMember(self, startIncarnation, table, composer, events, nowMs);
+    this.composer = new GossipComposer(settings, table, peers, random);
+    this.local = new LocalMember(self, startIncarnation, table, peers, composer, events, nowMs);
     this.probes = new ProbeTracker(random.nextLong(1, Integer.MAX_VALUE));
     this.ownCentreRound = new ProbeRound(random);
     this.otherCentresRound = new ProbeRound(random);
@@ -107,6 +107,7 @@
       return List.of();
     }
     noteTime(nowMs);
+    peers.heardOf(m.gossip().listVersion());
     merge(sender, nowMs);
     int news = 0;
     for (MemberDelta delta : m.gossip().deltas()) {
@@ -138,7 +139,8 @@
   /**
    * Takes in an answer of the platform's VM list. It adds VMs to probe and marks leaving ones; it
    * never makes a VM alive or dead. An answer that is not newer than the last is ignored. Only the
-   * marked VM lifts its mark, when a newer list names it live and it has not begun to stop.
+   * marked VM lifts its mark, when the newest list that any VM has heard of names it live and it
+   * has not begun to stop.
    */
   public void applyPlatformList(PlatformList list, long nowMs) {
     if (!peers.apply(list)) {
@@ -147,9 +149,7 @@
     for (VmId vm : peers.leaving()) {
       markLeaving(vm, nowMs);
     }
-    if (peers.isListedLive(local.vm())) {
-      local.liftPlatformMark(nowMs);
-    }
+    local.liftPlatformMark(nowMs);
     refreshView();
   }
 
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/PeerDirectory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/PeerDirectory.java
@@ -12,10 +12,13 @@
 /** Peers known by name only: from the process settings and from the platform's list. */
 final class PeerDirectory {
 
+  private static final long NO_LIST = -1;
+
   private final Map<VmId, PeerAddress> seeds = new LinkedHashMap<>();
   private final Map<VmId, PeerAddress> listed = new LinkedHashMap<>();
   private final Set<VmId> leaving = new LinkedHashSet<>();
-  private long listVersion = Long.MIN_VALUE;
+  private long listVersion = NO_LIST;
+  private long newestHeardVersion = NO_LIST;
 
   void addSeed(VmId vm, PeerAddress address) {
     seeds.put(vm, address);
@@ -27,6 +30,7 @@
       return false;
     }
     listVersion = list.version();
+    heardOf(listVersion);
     listed.clear();
     leaving.clear();
     for (PlatformList.PlatformVm vm : list.vms()) {
@@ -43,9 +47,22 @@
     return leaving;
   }
 
-  /** Returns whether the newest list names the VM and does not mark it as leaving. */
-  boolean isListedLive(VmId vm) {
-    return listed.containsKey(vm) && !leaving.contains(vm);
+  /** Takes in the list version that a peer has or heard of. */
+  void heardOf(long version) {
+    newestHeardVersion = Math.max(newestHeardVersion, version);
+  }
+
+  /** Returns the newest list version that any message or list had, or -1. */
+  long newestHeardVersion() {
+    return newestHeardVersion;
+  }
+
+  /**
+   * Returns whether the list held here names the VM as live and no peer has a newer one. Only then
+   * may the VM lift a leaving mark, as the mark may come from the newer list.
+   */
+  boolean isListedLiveInNewest(VmId vm) {
+    return listVersion == newestHeardVersion && listed.containsKey(vm) && !leaving.contains(vm);
   }
 
   boolean contains(VmId vm) {
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipSequencesTest.java
@@ -0,0 +1,144 @@
+package io.magnoliaroute.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.membership.SimulatedNetwork.Host;
+import io.magnoliaroute.core.model.VmId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+final class MembershipSequencesTest {
+
+  private static final long SEQUENCES = Long.getLong("magnoliaroute.sequences", 2_000);
+  private static final long FAULTS_MS = 20_000;
+
+  /**
+   * Guards against views that stay wrong after random faults: a reachable VM that is called dead
+   * for longer than the bound, a crashed VM that stays alive, and two owners of one key.
+   */
+  @Test
+  void viewsAgreeWithinTheBoundAfterEachSequenceOfFaults() {
+    LongStream.range(0, SEQUENCES)
+        .parallel()
+        .forEach(
+            seed -> {
+              try {
+                new Sequence(seed).run();
+              } catch (AssertionError | RuntimeException e) {
+                throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+              }
+            });
+  }
+
+  /** One seeded run. */
+  private static final class Sequence {
+    private final Random random;
+    private final SimulatedNetwork network;
+    private final List<Host> hosts;
+    private long listVersion;
+
+    Sequence(long seed) {
+      this.random = new Random(seed);
+      this.network = new SimulatedNetwork(seed, 2 + random.nextInt(2), 2 + random.nextInt(2));
+      this.hosts = new ArrayList<>(network.hosts.values());
+    }
+
+    void run() {
+      while (network.nowMs < FAULTS_MS) {
+        if (random.nextInt(10) == 0) {
+          fault();
+        }
+        network.step();
+        checkPauses();
+      }
+      settle();
+      long boundMs = network.crashBoundMs() + network.healBoundMs();
+      network.run(boundMs);
+      assertTrue(network.isConverged(), () -> network.differences());
+      checkOwners();
+      network.run(network.crashBoundMs());
+      assertTrue(network.isConverged(), () -> "no longer converged: " + network.differences());
+    }
+
+    private void fault() {
+      Host host = hosts.get(random.nextInt(hosts.size()));
+      Host other = hosts.get(random.nextInt(hosts.size()));
+      switch (random.nextInt(9)) {
+        case 0 -> host.running = false;
+        case 1 -> restart(host);
+        case 2 -> host.pausedUntilMs = network.nowMs + 100 + random.nextLong(6_000);
+        case 3 -> network.partition(host.info.dataCentre().value());
+        case 4 -> network.link(host, other, random.nextBoolean());
+        case 5 -> network.healAll();
+        case 6 -> network.loss = random.nextDouble() * 0.5;
+        case 7 -> {
+          network.duplication = random.nextDouble() * 0.3;
+          network.maxDelayMs = 1 + random.nextLong(1_500);
+        }
+        default -> publishList(random.nextBoolean());
+      }
+    }
+
+    private void restart(Host host) {
+      host.running = false;
+      network.start(host);
+    }
+
+    // The list names crashed VMs as live and running ones as leaving, and reaches only some VMs.
+    private void publishList(boolean everyone) {
+      listVersion++;
+      List<PlatformList.PlatformVm> vms = new ArrayList<>();
+      for (Host host : hosts) {
+        boolean leaving = random.nextInt(4) == 0;
+        vms.add(new PlatformList.PlatformVm(host.info.vm(), host.info.address(), leaving));
+      }
+      apply(new PlatformList(listVersion, vms), everyone);
+    }
+
+    private void apply(PlatformList list, boolean everyone) {
+      for (Host host : network.running()) {
+        if (everyone || random.nextBoolean()) {
+          host.controller.applyPlatformList(list, network.nowMs);
+        }
+      }
+    }
+
+    private void settle() {
+      network.healAll();
+      hosts.forEach(host -> host.pausedUntilMs = 0);
+      network.step();
+      List<PlatformList.PlatformVm> vms = new ArrayList<>();
+      for (Host host : network.running()) {
+        vms.add(new PlatformList.PlatformVm(host.info.vm(), host.info.address(), false));
+      }
+      apply(new PlatformList(++listVersion, vms), true);
+    }
+
+    private void checkPauses() {
+      for (Host host : network.running()) {
+        for (MembershipEvent event : host.events) {
+          if (event instanceof MembershipEvent.OwnPauseDetected pause) {
+            assertTrue(pause.gapMs() > SimulatedNetwork.SETTINGS.suspicionMs(), pause::toString);
+          }
+        }
+        host.events.clear();
+      }
+    }
+
+    private void checkOwners() {
+      for (int partition = 0; partition < 8; partition++) {
+        String key = Rendezvous.partitionKey(partition);
+        List<VmId> owners =
+            network.running().stream()
+                .map(host -> host.controller.view().owner(key, member -> true).orElseThrow())
+                .distinct()
+                .toList();
+        assertEquals(network.running().isEmpty() ? 0 : 1, owners.size(), () -> "owners " + owners);
+      }
+    }
+  }
+}
