--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/PeerDirectory.java
@@ -0,0 +1,82 @@
+package io.magnoliaroute.core.membership;
+
+import io.magnoliaroute.core.model.VmId;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Peers known by name only: from the process settings and from the platform's list. */
+final class PeerDirectory {
+
+  private static final long NO_LIST = -1;
+
+  private final Map<VmId, PeerAddress> seeds = new LinkedHashMap<>();
+  private final Map<VmId, PeerAddress> listed = new LinkedHashMap<>();
+  private final Set<VmId> leaving = new LinkedHashSet<>();
+  private long listVersion = NO_LIST;
+  private long newestHeardVersion = NO_LIST;
+
+  void addSeed(VmId vm, PeerAddress address) {
+    seeds.put(vm, address);
+  }
+
+  /** Takes in the list if it is newer than the last and returns whether it was. */
+  boolean apply(PlatformList list) {
+    if (list.version() <= listVersion) {
+      return false;
+    }
+    listVersion = list.version();
+    heardOf(listVersion);
+    listed.clear();
+    leaving.clear();
+    for (PlatformList.PlatformVm vm : list.vms()) {
+      listed.put(vm.vm(), vm.address());
+      if (vm.leaving()) {
+        leaving.add(vm.vm());
+      }
+    }
+    return true;
+  }
+
+  /** Returns the VMs that the newest list marks as leaving. */
+  Set<VmId> leaving() {
+    return leaving;
+  }
+
+  /** Takes in the list version that a peer has or heard of. */
+  void heardOf(long version) {
+    newestHeardVersion = Math.max(newestHeardVersion, version);
+  }
+
+  /** Returns the newest list version that any message or list had, or -1. */
+  long newestHeardVersion() {
+    return newestHeardVersion;
+  }
+
+  /**
+   * Returns whether the list held here names the VM as live and no peer has a newer one. Only then
+   * may the VM lift a leaving mark, as the mark may come from the newer list.
+   */
+  boolean isListedLiveInNewest(VmId vm) {
+    return listVersion == newestHeardVersion && listed.containsKey(vm) && !leaving.contains(vm);
+  }
+
+  boolean contains(VmId vm) {
+    return seeds.containsKey(vm) || listed.containsKey(vm);
+  }
+
+  Optional<PeerAddress> address(VmId vm) {
+    PeerAddress address = listed.get(vm);
+    return Optional.ofNullable(address != null ? address : seeds.get(vm));
+  }
+
+  List<VmId> vms() {
+    Set<VmId> vms = new LinkedHashSet<>(listed.keySet());
+    vms.addAll(seeds.keySet());
+    return new ArrayList<>(vms);
+  }
+}
