--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/log/FieldWriter.java
@@ -0,0 +1,82 @@
+package io.magnoliaroute.core.log;
+
+import io.magnoliaroute.core.model.Bytes;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/**
+ * Collects numbered fields and encodes them as one MessagePack map.
+ *
+ * <p>Field numbers take the place of names: they cost one byte and let a reader skip fields that it
+ * does not know.
+ */
+public final class FieldWriter {
+
+  private interface Step {
+    void write(MessageBufferPacker packer) throws IOException;
+  }
+
+  private final List<Step> fields = new ArrayList<>();
+
+  /** Adds an integer. */
+  public FieldWriter put(int field, long value) {
+    return add(field, packer -> packer.packLong(value));
+  }
+
+  /** Adds a text. */
+  public FieldWriter put(int field, String value) {
+    return add(field, packer -> packer.packString(value));
+  }
+
+  /** Adds a sequence of bytes. */
+  public FieldWriter put(int field, Bytes value) {
+    return add(field, packer -> writeBytes(packer, value));
+  }
+
+  /** Adds a list of byte sequences. */
+  public FieldWriter putList(int field, List<Bytes> values) {
+    return add(
+        field,
+        packer -> {
+          packer.packArrayHeader(values.size());
+          for (Bytes value : values) {
+            writeBytes(packer, value);
+          }
+        });
+  }
+
+  /** Returns the encoded map. */
+  public Bytes toBytes() {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packMapHeader(fields.size());
+      for (Step field : fields) {
+        field.write(packer);
+      }
+      return Bytes.copyOf(packer.toByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException("a buffer in memory failed", e);
+    }
+  }
+
+  private FieldWriter add(int field, Step value) {
+    if (field < 0) {
+      throw new IllegalArgumentException("field must not be negative, was " + field);
+    }
+    fields.add(
+        packer -> {
+          packer.packInt(field);
+          value.write(packer);
+        });
+    return this;
+  }
+
+  private static void writeBytes(MessageBufferPacker packer, Bytes value) throws IOException {
+    byte[] content = value.toArray();
+    packer.packBinaryHeader(content.length);
+    packer.writePayload(content);
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/log/LogRecordCodec.java
@@ -0,0 +1,74 @@
+package io.magnoliaroute.core.log;
+
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.VmId;
+
+/**
+ * Encodes records for the log and decodes them, as MessagePack maps with numbered fields.
+ *
+ * <p>A reader accepts every version from 1 on: a later version may add fields, which are skipped,
+ * and must not change the meaning of a field. A change of meaning takes a new record kind.
+ */
+public final class LogRecordCodec {
+
+  /** The version that this release writes. */
+  public static final int VERSION = 1;
+
+  /** The longest encoded record; a turn of the longest request and answer fits. */
+  public static final int MAX_RECORD_BYTES = 8 * 1024 * 1024;
+
+  private static final int FIELD_VERSION = 0;
+  private static final int FIELD_VM = 1;
+  private static final int FIELD_INCARNATION = 2;
+  private static final int FIELD_SEQUENCE = 3;
+  private static final int FIELD_KIND = 4;
+  private static final int FIELD_BODY = 5;
+
+  private LogRecordCodec() {}
+
+  /**
+   * Returns the encoded record.
+   *
+   * @throws IllegalArgumentException if it is longer than {@link #MAX_RECORD_BYTES}
+   */
+  public static Bytes encode(LogRecord r) {
+    Bytes encoded =
+        new FieldWriter()
+            .put(FIELD_VERSION, VERSION)
+            .put(FIELD_VM, r.id().writer().vm().value())
+            .put(FIELD_INCARNATION, r.id().writer().incarnation())
+            .put(FIELD_SEQUENCE, r.id().sequence())
+            .put(FIELD_KIND, r.kind())
+            .put(FIELD_BODY, r.body())
+            .toBytes();
+    if (encoded.sizeBytes() > MAX_RECORD_BYTES) {
+      throw new IllegalArgumentException(
+          "record " + r.id() + " is longer than " + MAX_RECORD_BYTES + ": " + encoded.sizeBytes());
+    }
+    return encoded;
+  }
+
+  /** Returns the decoded record. */
+  public static LogRecord decode(Bytes encoded) throws MalformedRecordException {
+    if (encoded.sizeBytes() > MAX_RECORD_BYTES) {
+      throw new MalformedRecordException(
+          "record", 0, "longer than " + MAX_RECORD_BYTES + " bytes: " + encoded.sizeBytes());
+    }
+    FieldReader fields = FieldReader.of("record", encoded);
+    fields.integer(FIELD_VERSION, "version", 1, Integer.MAX_VALUE);
+    WriterId writer =
+        new WriterId(readVm(fields), fields.size(FIELD_INCARNATION, "id.incarnation"));
+    RecordId id = new RecordId(writer, fields.size(FIELD_SEQUENCE, "id.sequence"));
+    return new LogRecord(id, fields.count(FIELD_KIND, "kind"), fields.bytes(FIELD_BODY, "body"));
+  }
+
+  private static VmId readVm(FieldReader fields) throws MalformedRecordException {
+    try {
+      return new VmId(fields.text(FIELD_VM, "id.vm"));
+    } catch (IllegalArgumentException e) {
+      MalformedRecordException malformed = fields.invalid(FIELD_VM, "id.vm", e.getMessage());
+      malformed.initCause(e);
+      throw malformed;
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/ProgramRecordCodec.java
@@ -0,0 +1,249 @@
+package io.magnoliaroute.core.program;
+
+import io.magnoliaroute.core.log.FieldReader;
+import io.magnoliaroute.core.log.FieldWriter;
+import io.magnoliaroute.core.log.LogRecord;
+import io.magnoliaroute.core.log.MalformedRecordException;
+import io.magnoliaroute.core.log.RecordId;
+import io.magnoliaroute.core.log.WriterId;
+import io.magnoliaroute.core.model.Outcome;
+import io.magnoliaroute.core.model.PriorityClass;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.program.ProgramRecord.ActionAbandoned;
+import io.magnoliaroute.core.program.ProgramRecord.ActionIntent;
+import io.magnoliaroute.core.program.ProgramRecord.ActionOutcome;
+import io.magnoliaroute.core.program.ProgramRecord.Claim;
+import io.magnoliaroute.core.program.ProgramRecord.ProgramEnded;
+import io.magnoliaroute.core.program.ProgramRecord.ProgramStarted;
+import io.magnoliaroute.core.program.ProgramRecord.Snapshot;
+import io.magnoliaroute.core.program.ProgramRecord.TurnAppended;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Turns records of a program stream into {@link LogRecord}s and back. */
+public final class ProgramRecordCodec {
+
+  private static final int KIND_CLAIM = 1;
+  private static final int KIND_PROGRAM_STARTED = 2;
+  private static final int KIND_TURN_APPENDED = 3;
+  private static final int KIND_ACTION_INTENT = 4;
+  private static final int KIND_ACTION_OUTCOME = 5;
+  private static final int KIND_ACTION_ABANDONED = 6;
+  private static final int KIND_PROGRAM_ENDED = 7;
+  private static final int KIND_SNAPSHOT = 8;
+
+  private ProgramRecordCodec() {}
+
+  /** Returns the record in the form that is appended. */
+  public static LogRecord toLogRecord(ProgramRecord r) {
+    FieldWriter out = new FieldWriter();
+    int kind = write(r, out);
+    return new LogRecord(r.id(), kind, out.toBytes());
+  }
+
+  /**
+   * Returns the record, or empty when its kind is one that this release does not know.
+   *
+   * @throws MalformedRecordException if a field is missing or holds no valid value
+   */
+  public static Optional<ProgramRecord> fromLogRecord(LogRecord r) throws MalformedRecordException {
+    return switch (r.kind()) {
+      case KIND_CLAIM -> Optional.of(readClaim(r.id(), fields("claim", r)));
+      case KIND_PROGRAM_STARTED -> Optional.of(readStarted(r.id(), fields("program_started", r)));
+      case KIND_TURN_APPENDED -> Optional.of(readTurnAppended(r.id(), fields("turn_appended", r)));
+      case KIND_ACTION_INTENT -> Optional.of(readIntent(r.id(), fields("action_intent", r)));
+      case KIND_ACTION_OUTCOME -> Optional.of(readOutcome(r.id(), fields("action_outcome", r)));
+      case KIND_ACTION_ABANDONED -> Optional.of(readAbandoned(r.id(), fields("abandoned", r)));
+      case KIND_PROGRAM_ENDED -> Optional.of(readEnded(r.id(), fields("program_ended", r)));
+      case KIND_SNAPSHOT -> Optional.of(readSnapshot(r.id(), fields("snapshot", r)));
+      default -> Optional.empty();
+    };
+  }
+
+  private static FieldReader fields(String path, LogRecord r) throws MalformedRecordException {
+    return FieldReader.of(path, r.body());
+  }
+
+  private static int write(ProgramRecord r, FieldWriter out) {
+    if (r instanceof Claim claim) {
+      out.put(0, claim.vm().value()).put(1, claim.epoch());
+      return KIND_CLAIM;
+    }
+    if (r instanceof ProgramStarted started) {
+      writeStarted(started, out);
+      return KIND_PROGRAM_STARTED;
+    }
+    if (r instanceof TurnAppended appended) {
+      out.put(0, appended.epoch()).put(1, appended.program().value());
+      writeTurn(appended.turn(), out);
+      return KIND_TURN_APPENDED;
+    }
+    if (r instanceof ActionIntent intent) {
+      writeIntent(intent, out);
+      return KIND_ACTION_INTENT;
+    }
+    if (r instanceof ActionOutcome outcome) {
+      writeOutcome(outcome, out);
+      return KIND_ACTION_OUTCOME;
+    }
+    if (r instanceof ActionAbandoned abandoned) {
+      writeId(abandoned.intent(), 0, out);
+      return KIND_ACTION_ABANDONED;
+    }
+    if (r instanceof ProgramEnded ended) {
+      out.put(0, ended.epoch()).put(1, ended.program().value());
+      out.put(2, ended.reason().wireNumber()).put(3, ended.turns());
+      return KIND_PROGRAM_ENDED;
+    }
+    writeSnapshot((Snapshot) r, out);
+    return KIND_SNAPSHOT;
+  }
+
+  static void writeStarted(ProgramStarted r, FieldWriter out) {
+    out.put(0, r.epoch()).put(1, r.program().value()).put(2, r.team().value());
+    out.put(3, r.priority().wireName()).put(4, r.startedAtMs()).put(5, r.deadlineAtMs());
+    r.parent().ifPresent(parent -> out.put(6, parent.value()));
+    r.clientKey().ifPresent(key -> out.put(7, key));
+  }
+
+  static ProgramStarted readStarted(RecordId id, FieldReader in) throws MalformedRecordException {
+    Optional<ProgramId> parent =
+        in.has(6) ? Optional.of(value(in, 6, "parent", ProgramId::new)) : Optional.empty();
+    return new ProgramStarted(
+        id,
+        in.size(0, "epoch"),
+        value(in, 1, "program", ProgramId::new),
+        value(in, 2, "team", TeamId::new),
+        value(in, 3, "priority", PriorityClass::ofWireName),
+        in.size(4, "started_at_ms"),
+        in.size(5, "deadline_at_ms"),
+        parent,
+        in.optionalText(7, "client_key"));
+  }
+
+  static void writeTurn(Turn turn, FieldWriter out) {
+    out.put(2, turn.number()).put(3, turn.attempt());
+    out.put(4, turn.request()).put(5, turn.answer());
+    out.put(6, turn.promptTokens()).put(7, turn.answerTokens());
+  }
+
+  static Turn readTurn(FieldReader in) throws MalformedRecordException {
+    return new Turn(
+        in.count(2, "turn"),
+        in.count(3, "attempt"),
+        in.bytes(4, "request"),
+        in.bytes(5, "answer"),
+        in.count(6, "prompt_tokens"),
+        in.count(7, "answer_tokens"));
+  }
+
+  static void writeIntent(ActionIntent r, FieldWriter out) {
+    out.put(0, r.epoch()).put(1, r.program().value()).put(2, r.key()).put(3, r.attempt());
+    out.put(4, r.service()).put(5, r.request());
+  }
+
+  static ActionIntent readIntent(RecordId id, FieldReader in) throws MalformedRecordException {
+    return new ActionIntent(
+        id,
+        in.size(0, "epoch"),
+        value(in, 1, "program", ProgramId::new),
+        in.text(2, "key"),
+        in.count(3, "attempt"),
+        in.text(4, "service"),
+        in.bytes(5, "request"));
+  }
+
+  static void writeOutcome(ActionOutcome r, FieldWriter out) {
+    out.put(0, r.program().value()).put(1, r.key());
+    writeId(r.intent(), 2, out);
+    out.put(5, r.outcome().wireName()).put(6, r.result());
+  }
+
+  static ActionOutcome readOutcome(RecordId id, FieldReader in) throws MalformedRecordException {
+    return new ActionOutcome(
+        id,
+        value(in, 0, "program", ProgramId::new),
+        in.text(1, "key"),
+        readId(in, 2, "intent"),
+        value(in, 5, "outcome", Outcome::ofWireName),
+        in.bytes(6, "result"));
+  }
+
+  /** Writes an id to three fields, of which the first is given. */
+  static void writeId(RecordId id, int first, FieldWriter out) {
+    writeWriter(id.writer(), first, out);
+    out.put(first + 2, id.sequence());
+  }
+
+  static RecordId readId(FieldReader in, int first, String name) throws MalformedRecordException {
+    WriterId writer = readWriter(in, first, name);
+    return new RecordId(writer, in.size(first + 2, name + ".sequence"));
+  }
+
+  static void writeWriter(WriterId writer, int first, FieldWriter out) {
+    out.put(first, writer.vm().value()).put(first + 1, writer.incarnation());
+  }
+
+  static WriterId readWriter(FieldReader in, int first, String name)
+      throws MalformedRecordException {
+    VmId vm = value(in, first, name + ".vm", VmId::new);
+    return new WriterId(vm, in.size(first + 1, name + ".incarnation"));
+  }
+
+  static <T> T value(FieldReader in, int field, String name, Function<String, T> parse)
+      throws MalformedRecordException {
+    String text = in.text(field, name);
+    try {
+      return parse.apply(text);
+    } catch (IllegalArgumentException e) {
+      MalformedRecordException malformed = in.invalid(field, name, e.getMessage());
+      malformed.initCause(e);
+      throw malformed;
+    }
+  }
+
+  private static Claim readClaim(RecordId id, FieldReader in) throws MalformedRecordException {
+    return new Claim(id, value(in, 0, "vm", VmId::new), in.size(1, "epoch"));
+  }
+
+  private static TurnAppended readTurnAppended(RecordId id, FieldReader in)
+      throws MalformedRecordException {
+    ProgramId program = value(in, 1, "program", ProgramId::new);
+    return new TurnAppended(id, in.size(0, "epoch"), program, readTurn(in));
+  }
+
+  private static ActionAbandoned readAbandoned(RecordId id, FieldReader in)
+      throws MalformedRecordException {
+    return new ActionAbandoned(id, readId(in, 0, "intent"));
+  }
+
+  private static ProgramEnded readEnded(RecordId id, FieldReader in)
+      throws MalformedRecordException {
+    return new ProgramEnded(
+        id,
+        in.size(0, "epoch"),
+        value(in, 1, "program", ProgramId::new),
+        SnapshotEntryCodec.readReason(in, 2),
+        in.count(3, "turns"));
+  }
+
+  private static void writeSnapshot(Snapshot r, FieldWriter out) {
+    out.put(0, r.asOfOffset()).put(1, r.writtenAtMs()).put(2, r.part()).put(3, r.parts());
+    out.putList(4, r.entries().stream().map(SnapshotEntryCodec::encode).toList());
+  }
+
+  private static Snapshot readSnapshot(RecordId id, FieldReader in)
+      throws MalformedRecordException {
+    int parts = (int) in.integer(3, "parts", 1, Integer.MAX_VALUE);
+    int part = (int) in.integer(2, "part", 0, parts - 1);
+    return new Snapshot(
+        id,
+        in.size(0, "as_of_offset"),
+        in.size(1, "written_at_ms"),
+        part,
+        parts,
+        SnapshotEntryCodec.decodeAll(in.list(4, "entries")));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/ProgramState.java
@@ -0,0 +1,156 @@
+package io.magnoliaroute.core.program;
+
+import io.magnoliaroute.core.model.Bytes;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The state of one program. */
+final class ProgramState {
+
+  /** The use of one action key. */
+  static final class Action {
+    final long intentOffset;
+    final ProgramRecord.ActionIntent intent;
+    Optional<ProgramRecord.ActionOutcome> outcome = Optional.empty();
+    long changedAtOffset;
+
+    Action(long intentOffset, ProgramRecord.ActionIntent intent) {
+      this.intentOffset = intentOffset;
+      this.intent = intent;
+      this.changedAtOffset = intentOffset;
+    }
+
+    static Action ofEntry(SnapshotEntry.ActionEntry entry) {
+      Action action = new Action(entry.intentOffset(), entry.intent());
+      action.outcome = entry.outcome();
+      action.changedAtOffset = entry.offset();
+      return action;
+    }
+
+    boolean open() {
+      return outcome.isEmpty();
+    }
+
+    int sizeBytes() {
+      return intent.request().sizeBytes()
+          + outcome.map(known -> known.result().sizeBytes()).orElse(0);
+    }
+
+    ActionView view() {
+      return new ActionView(
+          intent.key(),
+          intent.id(),
+          intentOffset,
+          intent.service(),
+          intent.request(),
+          outcome.map(ProgramRecord.ActionOutcome::outcome),
+          outcome.map(ProgramRecord.ActionOutcome::result).orElse(Bytes.copyOf(new byte[0])));
+    }
+  }
+
+  final ProgramRecord.ProgramStarted start;
+  final List<Turn> turns = new ArrayList<>();
+  final List<Long> turnOffsets = new ArrayList<>();
+  final Map<String, Action> actions = new LinkedHashMap<>();
+  Optional<ProgramEnd> end = Optional.empty();
+  long changedAtOffset;
+  private long tokens;
+  private int repeats;
+  private long sizeBytes;
+
+  ProgramState(long offset, ProgramRecord.ProgramStarted start) {
+    this.start = start;
+    this.changedAtOffset = offset;
+  }
+
+  static ProgramState ofEntry(SnapshotEntry.ProgramEntry entry) {
+    ProgramState state = new ProgramState(entry.offset(), entry.start());
+    state.end = entry.end();
+    return state;
+  }
+
+  void addEntries(List<SnapshotEntry> entries) {
+    entries.add(new SnapshotEntry.ProgramEntry(changedAtOffset, start, end, turns.size()));
+    for (int i = 0; i < turns.size(); i++) {
+      entries.add(new SnapshotEntry.TurnEntry(turnOffsets.get(i), start.program(), turns.get(i)));
+    }
+    for (Action action : actions.values()) {
+      entries.add(
+          new SnapshotEntry.ActionEntry(
+              action.changedAtOffset, action.intentOffset, action.intent, action.outcome));
+    }
+  }
+
+  /** Adds a turn without moving the offset of the newest change, which the program entry gave. */
+  void restoreTurn(SnapshotEntry.TurnEntry entry) {
+    long changed = changedAtOffset;
+    addTurn(entry.offset(), entry.turn());
+    changedAtOffset = changed;
+  }
+
+  void setEnd(ProgramEnd programEnd) {
+    end = Optional.of(programEnd);
+    changedAtOffset = programEnd.offset();
+  }
+
+  long endOffset() {
+    return end.map(ProgramEnd::offset).orElse(Long.MAX_VALUE);
+  }
+
+  void addTurn(long offset, Turn turn) {
+    boolean repeated =
+        !turns.isEmpty() && turns.get(turns.size() - 1).request().equals(turn.request());
+    repeats = repeated ? repeats + 1 : 1;
+    turns.add(turn);
+    turnOffsets.add(offset);
+    tokens += turn.tokens();
+    sizeBytes += turn.sizeBytes();
+    changedAtOffset = offset;
+  }
+
+  void addAction(Action action) {
+    actions.put(action.intent.key(), action);
+    sizeBytes += action.sizeBytes();
+    changedAtOffset = Math.max(changedAtOffset, action.changedAtOffset);
+  }
+
+  void removeAction(long offset, Action action) {
+    actions.remove(action.intent.key());
+    sizeBytes -= action.sizeBytes();
+    changedAtOffset = offset;
+  }
+
+  void setOutcome(long offset, Action action, ProgramRecord.ActionOutcome outcome) {
+    action.outcome = Optional.of(outcome);
+    action.changedAtOffset = offset;
+    sizeBytes += outcome.result().sizeBytes();
+    changedAtOffset = Math.max(changedAtOffset, offset);
+  }
+
+  boolean hasOpenAction() {
+    return actions.values().stream().anyMatch(Action::open);
+  }
+
+  long sizeBytes() {
+    return sizeBytes;
+  }
+
+  ProgramView view() {
+    return new ProgramView(
+        start.program(),
+        start.team(),
+        start.priority(),
+        start.startedAtMs(),
+        start.deadlineAtMs(),
+        start.parent(),
+        end.map(ProgramEnd::reason),
+        turns,
+        tokens,
+        repeats,
+        actions.size(),
+        changedAtOffset);
+  }
+}
