Add the settings parser, config state and budget ledger

Cause: the daemon, the log and the command line need the public types of core.settings, core.config and core.budget. ConfigState decides on published branches by log order and spreads them by version with ConfigExchange. BudgetLedger decides on slices by log order; BudgetHolder reserves before a call within the opened units it read back.

--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/AccountAge.java
@@ -0,0 +1,12 @@
+package io.magnoliaroute.core.budget;
+
+import io.magnoliaroute.core.model.TeamId;
+
+/**
+ * When an account was last carried forward.
+ *
+ * @param team the team
+ * @param period the period
+ * @param carriedMs the time of its last snapshot, or {@link Long#MIN_VALUE} if there is none
+ */
+public record AccountAge(TeamId team, BudgetPeriod period, long carriedMs) {}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/HolderSlice.java
@@ -0,0 +1,59 @@
+package io.magnoliaroute.core.budget;
+
+/** A slice that this VM holds, with what calls took from it. */
+final class HolderSlice {
+
+  /** The headroom above use that is opened ahead is the slice divided by this. */
+  private static final int HEADROOM_DIVISOR = 4;
+
+  final String id;
+  final BudgetPeriod period;
+  final long amountUnits;
+  long openedUnits;
+  long reservedUnits;
+  long spentUnits;
+  long lastUsedMs;
+  boolean reclaimed;
+  Pending pendingOpen;
+  Pending pendingRelease;
+
+  HolderSlice(BudgetRecord.SliceGranted grant, long nowMs) {
+    this.id = grant.slice();
+    this.period = grant.period();
+    this.amountUnits = grant.amountUnits();
+    this.openedUnits = grant.openedUnits();
+    this.lastUsedMs = nowMs;
+  }
+
+  /** Returns the units that a reservation may take now. */
+  long availableUnits() {
+    return pendingRelease != null ? 0 : Math.max(0, openedUnits - spentUnits - reservedUnits);
+  }
+
+  /** Returns the units that could still be opened. */
+  long unopenedUnits() {
+    return reclaimed || pendingRelease != null ? 0 : amountUnits - openedUnits;
+  }
+
+  /** Returns the total to open so that {@code wantedUnits} more are available. */
+  long openTarget(long wantedUnits) {
+    long headroom = Math.max(wantedUnits, headroomUnits(amountUnits));
+    return Math.min(amountUnits, spentUnits + reservedUnits + headroom);
+  }
+
+  static long headroomUnits(long amountUnits) {
+    return (amountUnits + HEADROOM_DIVISOR - 1) / HEADROOM_DIVISOR;
+  }
+
+  /** A record that was handed out to be appended and is not read back yet. */
+  static final class Pending {
+
+    final BudgetRecord budgetRecord;
+    long sentMs;
+
+    Pending(BudgetRecord budgetRecord, long sentMs) {
+      this.budgetRecord = budgetRecord;
+      this.sentMs = sentMs;
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/SliceReclaimer.java
@@ -0,0 +1,87 @@
+package io.magnoliaroute.core.budget;
+
+import io.magnoliaroute.core.model.Hashing;
+import io.magnoliaroute.core.model.VmId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Reclaims slices whose holder is gone: VMs that are not live, and earlier incarnations of this VM.
+ *
+ * <p>A reclaim is safe also while the holder lives, because what was opened stays committed. The
+ * wait and the ranks only keep VMs from writing the same record.
+ */
+public final class SliceReclaimer {
+
+  private final VmId vm;
+  private final String writer;
+  private final long graceMs;
+  private final long staggerMs;
+  private final Map<String, Long> seenMs = new HashMap<>();
+  private long nextRecord = 1;
+
+  /**
+   * Makes a controller.
+   *
+   * @param vm this VM
+   * @param writer the incarnation of this VM, as given to its {@link BudgetHolder}
+   * @param graceMs how long a holder must be gone
+   * @param staggerMs the time between the ranks of the VMs that may write the record
+   */
+  public SliceReclaimer(VmId vm, String writer, long graceMs, long staggerMs) {
+    this.vm = vm;
+    this.writer = writer;
+    this.graceMs = graceMs;
+    this.staggerMs = staggerMs;
+  }
+
+  /** Returns the records to append now. */
+  public List<BudgetRecord> poll(BudgetLedger ledger, Collection<VmId> live, long nowMs) {
+    if (!ledger.caughtUp()) {
+      return List.of();
+    }
+    List<BudgetRecord> records = new ArrayList<>();
+    Map<String, Long> stillSeen = new HashMap<>();
+    for (HeldSlice held : ledger.liveSlices()) {
+      String slice = held.state().slice();
+      if (!gone(held.state(), live) || nowMs >= held.period().endMs()) {
+        continue;
+      }
+      long sinceMs = seenMs.getOrDefault(slice, nowMs);
+      if (nowMs - sinceMs >= waitMs(held.state(), live)) {
+        records.add(reclaim(held));
+        // Starts the wait again, in case the append is lost.
+        sinceMs = nowMs;
+      }
+      stillSeen.put(slice, sinceMs);
+    }
+    seenMs.clear();
+    seenMs.putAll(stillSeen);
+    return records;
+  }
+
+  private boolean gone(SliceState state, Collection<VmId> live) {
+    if (state.vm().equals(vm)) {
+      return !state.slice().startsWith(writer + "/");
+    }
+    return !live.contains(state.vm());
+  }
+
+  private long waitMs(SliceState state, Collection<VmId> live) {
+    if (state.vm().equals(vm)) {
+      return 0;
+    }
+    long own = Hashing.fnv1a64(state.slice() + '|' + vm);
+    long rank =
+        live.stream().filter(other -> Hashing.fnv1a64(state.slice() + '|' + other) < own).count();
+    return graceMs + rank * staggerMs;
+  }
+
+  private BudgetRecord reclaim(HeldSlice held) {
+    String id = writer + "/reclaim/" + nextRecord++;
+    return new BudgetRecord.SliceReclaimed(id, held.team(), held.period(), held.state().slice());
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigState.java
@@ -0,0 +1,305 @@
+package io.magnoliaroute.core.config;
+
+import io.magnoliaroute.core.settings.Branch;
+import io.magnoliaroute.core.settings.BranchName;
+import io.magnoliaroute.core.settings.Finding;
+import io.magnoliaroute.core.settings.ParseResult;
+import io.magnoliaroute.core.settings.PoolKind;
+import io.magnoliaroute.core.settings.PoolSettings;
+import io.magnoliaroute.core.settings.SettingsParser;
+import io.magnoliaroute.core.settings.SettingsTree;
+import io.magnoliaroute.core.settings.Severity;
+import io.magnoliaroute.core.settings.TeamSettings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The settings by the order of the {@code config} stream, and the newest settings known from log
+ * and peers, which are in force.
+ *
+ * <p>Apply the records in the order of their offsets. A reader that starts after offset 0 calls
+ * {@link #readFrom} first and {@link #reachedTip} when it has read up to the end of the stream
+ * once. Until then it only keeps what it reads, because the branches from before the first offset
+ * are known only when the snapshots are read. Not thread-safe.
+ */
+public final class ConfigState {
+
+  /** The version of a branch that never existed. */
+  public static final long ABSENT_VERSION = -1;
+
+  private final ForcedTree forced = new ForcedTree();
+  private final Map<BranchName, Long> carriedMs = new HashMap<>();
+  private final List<Deferred> deferred = new ArrayList<>();
+  private final Map<BranchName, BranchEntry> baseline = new HashMap<>();
+  private LoggedTree logged = new LoggedTree();
+  private long firstOffset;
+  private long lastOffset = -1;
+  private long completeThrough = ABSENT_VERSION;
+  private boolean atTip = true;
+
+  private record Deferred(long offset, ConfigRecord configRecord) {}
+
+  /**
+   * Begins to read the stream from an offset; the log no longer keeps the records before it.
+   *
+   * <p>A VM that was paused for longer than the retention calls this again. What is in force stays.
+   */
+  public void readFrom(long firstRetainedOffset) {
+    logged = new LoggedTree();
+    deferred.clear();
+    baseline.clear();
+    firstOffset = firstRetainedOffset;
+    lastOffset = firstRetainedOffset - 1;
+    atTip = firstRetainedOffset <= 0;
+  }
+
+  /** Says that the end of the stream was read once; returns the branches that changed. */
+  public Set<BranchName> reachedTip() {
+    if (atTip) {
+      return Set.of();
+    }
+    atTip = true;
+    Set<BranchName> changed = new TreeSet<>();
+    for (BranchEntry known : forced.all()) {
+      addToBaseline(known);
+    }
+    for (BranchEntry entry : baseline.values()) {
+      install(entry, changed);
+    }
+    for (Deferred each : deferred) {
+      decide(each.offset(), each.configRecord(), changed);
+    }
+    deferred.clear();
+    baseline.clear();
+    raiseCompleteness();
+    return changed;
+  }
+
+  /** Returns whether verdicts are final and the log's settings are in force. */
+  public boolean caughtUp() {
+    return atTip;
+  }
+
+  /** Applies one record and returns the verdict; a record at an offset already read is ignored. */
+  public ConfigVerdict apply(long offset, ConfigRecord configRecord) {
+    if (offset <= lastOffset) {
+      return new ConfigVerdict(ConfigVerdict.Kind.NOT_NEEDED, ABSENT_VERSION, List.of());
+    }
+    lastOffset = offset;
+    if (!atTip) {
+      defer(offset, configRecord);
+      return new ConfigVerdict(ConfigVerdict.Kind.DEFERRED, ABSENT_VERSION, List.of());
+    }
+    ConfigVerdict verdict = decide(offset, configRecord, new TreeSet<>());
+    raiseCompleteness();
+    return verdict;
+  }
+
+  private void defer(long offset, ConfigRecord configRecord) {
+    deferred.add(new Deferred(offset, configRecord));
+    if (configRecord instanceof ConfigRecord.Snapshot snapshot) {
+      snapshot.entries().forEach(this::addToBaseline);
+    }
+  }
+
+  /** Keeps entries that took effect before the first offset: the state that reading starts with. */
+  private void addToBaseline(BranchEntry entry) {
+    if (entry.version() < firstOffset) {
+      baseline.merge(
+          entry.branch(), entry, (old, other) -> other.version() > old.version() ? other : old);
+    }
+  }
+
+  private ConfigVerdict decide(long offset, ConfigRecord configRecord, Set<BranchName> changed) {
+    if (configRecord instanceof ConfigRecord.Published published) {
+      return publish(offset, published, changed);
+    }
+    ConfigRecord.Snapshot snapshot = (ConfigRecord.Snapshot) configRecord;
+    boolean newer = false;
+    for (BranchEntry entry : snapshot.entries()) {
+      if (entry.version() < offset) {
+        newer |= install(entry, changed);
+        noteCarried(entry, snapshot.timeMs());
+      }
+    }
+    ConfigVerdict.Kind kind = newer ? ConfigVerdict.Kind.ACCEPTED : ConfigVerdict.Kind.NOT_NEEDED;
+    return new ConfigVerdict(kind, logged.highestVersion(), List.of());
+  }
+
+  private void noteCarried(BranchEntry entry, long timeMs) {
+    if (entry.version() == logged.version(entry.branch())) {
+      carriedMs.merge(entry.branch(), timeMs, Math::max);
+    }
+  }
+
+  /** Takes an entry where its offset is higher than the one held. */
+  private boolean install(BranchEntry entry, Set<BranchName> changed) {
+    if (entry.version() <= logged.version(entry.branch())) {
+      return false;
+    }
+    Optional<Branch> content = parse(entry);
+    logged.put(entry, content);
+    carriedMs.put(entry.branch(), entry.history().get(0).timeMs());
+    raise(entry, content, changed);
+    return true;
+  }
+
+  private static Optional<Branch> parse(BranchEntry entry) {
+    return entry
+        .content()
+        .flatMap(
+            yaml ->
+                SettingsParser.parseBranch(entry.branch().value(), entry.branch(), yaml).value());
+  }
+
+  private void raise(BranchEntry entry, Optional<Branch> content, Set<BranchName> changed) {
+    if (forced.raise(entry, content)) {
+      changed.add(entry.branch());
+    }
+  }
+
+  private ConfigVerdict publish(
+      long offset, ConfigRecord.Published published, Set<BranchName> changed) {
+    BranchName branch = published.branch();
+    long current = logged.version(branch);
+    Optional<BranchVersion> same = sameRecord(published);
+    if (same.isPresent()) {
+      return new ConfigVerdict(ConfigVerdict.Kind.DUPLICATE, same.get().version(), List.of());
+    }
+    if (published.baseVersion() != current) {
+      return new ConfigVerdict(ConfigVerdict.Kind.CONFLICT, current, List.of());
+    }
+    ParseResult<Branch> checked = check(branch, published.content());
+    if (checked.refused()) {
+      return new ConfigVerdict(ConfigVerdict.Kind.INVALID, current, checked.findings());
+    }
+    BranchEntry entry = new BranchEntry(branch, published.content(), history(offset, published));
+    logged.put(entry, checked.value());
+    carriedMs.put(branch, published.timeMs());
+    raise(entry, checked.value(), changed);
+    return new ConfigVerdict(ConfigVerdict.Kind.ACCEPTED, offset, checked.findings());
+  }
+
+  private Optional<BranchVersion> sameRecord(ConfigRecord.Published published) {
+    return logged
+        .get(published.branch())
+        .flatMap(
+            held ->
+                held.entry().history().stream()
+                    .filter(version -> version.recordId().equals(published.recordId()))
+                    .findFirst());
+  }
+
+  private List<BranchVersion> history(long offset, ConfigRecord.Published published) {
+    List<BranchVersion> history = new ArrayList<>();
+    history.add(
+        new BranchVersion(offset, published.author(), published.timeMs(), published.recordId()));
+    logged.get(published.branch()).ifPresent(held -> history.addAll(held.entry().history()));
+    return history.subList(0, Math.min(history.size(), BranchEntry.HISTORY_VERSIONS));
+  }
+
+  /**
+   * Checks new content of a branch against the tree by log order.
+   *
+   * @param content the YAML, or nothing to check a deletion
+   */
+  public ParseResult<Branch> check(BranchName branch, Optional<String> content) {
+    if (content.isEmpty()) {
+      return new ParseResult<>(Optional.empty(), checkDeletion(branch));
+    }
+    ParseResult<Branch> parsed =
+        SettingsParser.parseBranch(branch.value(), branch, content.get(), logged);
+    List<Finding> findings = new ArrayList<>(parsed.findings());
+    if (parsed.value().orElse(null) instanceof PoolSettings pool
+        && pool.kind() != PoolKind.SERVICE) {
+      findings.addAll(usersOf(branch));
+    }
+    boolean refused = findings.stream().anyMatch(Finding::isError);
+    return new ParseResult<>(refused ? Optional.empty() : parsed.value(), findings);
+  }
+
+  private List<Finding> checkDeletion(BranchName branch) {
+    if (logged.get(branch).filter(held -> !held.entry().deleted()).isEmpty()) {
+      return List.of(error(branch, branch.value(), "does not exist"));
+    }
+    return switch (branch.kind()) {
+      case POOL -> usersOf(branch);
+      default -> List.of();
+    };
+  }
+
+  private List<Finding> usersOf(BranchName branch) {
+    return logged.teamsThatUse(branch.pool()).stream()
+        .map(team -> error(branch, branch.value(), "is the service of a tool rule of team " + team))
+        .toList();
+  }
+
+  private static Finding error(BranchName branch, String path, String message) {
+    return new Finding(branch.value(), 0, path, message, Severity.ERROR);
+  }
+
+  private void raiseCompleteness() {
+    completeThrough = Math.max(completeThrough, logged.highestVersion());
+  }
+
+  /**
+   * Takes what a peer sent; returns the branches that changed.
+   *
+   * <p>Versions only rise, so a push that is old, repeated or out of order does no harm.
+   */
+  public Set<BranchName> take(ConfigPush push) {
+    Set<BranchName> changed = new TreeSet<>();
+    for (BranchEntry entry : push.entries()) {
+      if (entry.version() > forced.version(entry.branch())) {
+        raise(entry, parse(entry), changed);
+      }
+    }
+    if (push.newerThanVersion() <= completeThrough) {
+      completeThrough = Math.max(completeThrough, push.throughVersion());
+    }
+    return changed;
+  }
+
+  /** Returns the settings in force. */
+  public SettingsTree inForce() {
+    return forced.tree();
+  }
+
+  /** Returns the version up to which this VM has every branch; VMs put it on their probes. */
+  public long version() {
+    return completeThrough;
+  }
+
+  /** Returns the branch in force, also a deleted one, with its history. */
+  public Optional<BranchEntry> branch(BranchName name) {
+    return forced.get(name);
+  }
+
+  /** Returns all branches in force, deleted ones too, in no order. */
+  public List<BranchEntry> branches() {
+    return List.copyOf(forced.all());
+  }
+
+  /** Returns the version of the team's branch in force. */
+  public long versionOf(TeamSettings team) {
+    return forced.version(BranchName.of(team.id()));
+  }
+
+  /** Returns the branches by log order with the time that each was last carried in a record. */
+  List<CarriedBranch> carried() {
+    List<CarriedBranch> carried = new ArrayList<>();
+    for (LoggedTree.Held held : logged.all()) {
+      long sinceMs = carriedMs.getOrDefault(held.entry().branch(), Long.MIN_VALUE);
+      carried.add(new CarriedBranch(held.entry(), sinceMs));
+    }
+    return carried;
+  }
+
+  /** A branch with the time of the last record that holds it. */
+  record CarriedBranch(BranchEntry entry, long carriedMs) {}
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/LoggedTree.java
@@ -0,0 +1,106 @@
+package io.magnoliaroute.core.config;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.PoolId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.settings.Branch;
+import io.magnoliaroute.core.settings.BranchContext;
+import io.magnoliaroute.core.settings.BranchName;
+import io.magnoliaroute.core.settings.PoolKind;
+import io.magnoliaroute.core.settings.PoolSettings;
+import io.magnoliaroute.core.settings.TeamSettings;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The branches by log order, with the indexes that the checks of a new branch need. */
+final class LoggedTree implements BranchContext {
+
+  private final Map<BranchName, Held> held = new HashMap<>();
+  private final Map<String, TeamId> tokens = new HashMap<>();
+  private final Map<EndpointId, PoolId> endpoints = new HashMap<>();
+  private long highestVersion = ConfigState.ABSENT_VERSION;
+
+  /** A branch with its parsed content; no content after a deletion. */
+  record Held(BranchEntry entry, Optional<Branch> content) {}
+
+  Optional<Held> get(BranchName branch) {
+    return Optional.ofNullable(held.get(branch));
+  }
+
+  long version(BranchName branch) {
+    Held found = held.get(branch);
+    return found == null ? ConfigState.ABSENT_VERSION : found.entry().version();
+  }
+
+  long highestVersion() {
+    return highestVersion;
+  }
+
+  Collection<Held> all() {
+    return held.values();
+  }
+
+  void put(BranchEntry entry, Optional<Branch> content) {
+    Held previous = held.put(entry.branch(), new Held(entry, content));
+    if (previous != null) {
+      previous.content().ifPresent(this::removeFromIndexes);
+    }
+    content.ifPresent(this::addToIndexes);
+    highestVersion = Math.max(highestVersion, entry.version());
+  }
+
+  private void addToIndexes(Branch branch) {
+    if (branch instanceof TeamSettings team) {
+      team.tokenHashes().forEach(hash -> tokens.put(hash, team.id()));
+    } else if (branch instanceof PoolSettings pool) {
+      pool.endpoints().forEach(endpoint -> endpoints.put(endpoint.id(), pool.id()));
+    }
+  }
+
+  private void removeFromIndexes(Branch branch) {
+    if (branch instanceof TeamSettings team) {
+      team.tokenHashes().forEach(hash -> tokens.remove(hash, team.id()));
+    } else if (branch instanceof PoolSettings pool) {
+      pool.endpoints().forEach(endpoint -> endpoints.remove(endpoint.id(), pool.id()));
+    }
+  }
+
+  /** Returns the teams whose tool rules name the pool. */
+  List<TeamId> teamsThatUse(PoolId pool) {
+    return held.values().stream()
+        .flatMap(branch -> branch.content().stream())
+        .filter(TeamSettings.class::isInstance)
+        .map(TeamSettings.class::cast)
+        .filter(team -> team.toolRules().stream().anyMatch(r -> r.service().equals(pool)))
+        .map(TeamSettings::id)
+        .sorted()
+        .toList();
+  }
+
+  @Override
+  public boolean hasPool(PoolId pool) {
+    return pool(pool).isPresent();
+  }
+
+  @Override
+  public Optional<PoolKind> poolKind(PoolId pool) {
+    return pool(pool).map(PoolSettings::kind);
+  }
+
+  private Optional<PoolSettings> pool(PoolId pool) {
+    return get(BranchName.of(pool)).flatMap(Held::content).map(PoolSettings.class::cast);
+  }
+
+  @Override
+  public Optional<TeamId> teamOfToken(String tokenHash) {
+    return Optional.ofNullable(tokens.get(tokenHash));
+  }
+
+  @Override
+  public Optional<PoolId> poolOfEndpoint(EndpointId endpoint) {
+    return Optional.ofNullable(endpoints.get(endpoint));
+  }
+}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/Limits.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/Limits.java
@@ -18,7 +18,8 @@
     int frameBytes,
     int bodyBytes,
     int headerBytes,
-    int concurrentStreams) {
+    int concurrentStreams)
+    implements Branch {
 
   private static final int MIB_BYTES = 1024 * 1024;
 
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/PoolSettings.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/PoolSettings.java
@@ -20,7 +20,8 @@
     List<String> models,
     Set<String> nonIdempotentOperations,
     boolean statusQuery,
-    List<EndpointSettings> endpoints) {
+    List<EndpointSettings> endpoints)
+    implements Branch {
 
   /** Copies the collections. */
   public PoolSettings {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/TeamSettings.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/TeamSettings.java
@@ -24,7 +24,8 @@
     UrgentRation urgentRation,
     BudgetSettings budget,
     List<ToolRule> toolRules,
-    ProgramLimits limits) {
+    ProgramLimits limits)
+    implements Branch {
 
   /** Copies the collections. */
   public TeamSettings {
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/TreeReader.java
@@ -0,0 +1,91 @@
+package io.magnoliaroute.core.settings;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.PoolId;
+import io.magnoliaroute.core.model.TeamId;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Reads a whole tree; pools first, because teams refer to them. */
+final class TreeReader implements BranchContext {
+
+  private final Findings findings;
+  private final Map<PoolId, Optional<PoolKind>> pools = new HashMap<>();
+  private final Map<String, TeamId> tokens = new HashMap<>();
+  private final Map<EndpointId, PoolId> endpoints = new HashMap<>();
+
+  TreeReader(Findings findings) {
+    this.findings = findings;
+  }
+
+  SettingsTree read(Section section) {
+    Map<PoolId, PoolSettings> readPools = new LinkedHashMap<>();
+    section.forEachEntry(
+        "pools",
+        (name, entry) ->
+            id("pools/" + name, entry, name, PoolId::new)
+                .ifPresent(pool -> readPool(pool, entry, readPools)));
+    Map<TeamId, TeamSettings> readTeams = new LinkedHashMap<>();
+    section.forEachEntry(
+        "teams",
+        (name, entry) ->
+            id("teams/" + name, entry, name, TeamId::new)
+                .ifPresent(team -> readTeam(team, entry, readTeams)));
+    Limits limits = section.section("limits", LimitsReader::read).orElse(Limits.defaults());
+    return new SettingsTree(readTeams, readPools, limits);
+  }
+
+  private <T> Optional<T> id(
+      String path, YamlNode.Entry entry, String name, Function<String, T> function) {
+    try {
+      return Optional.of(function.apply(name));
+    } catch (IllegalArgumentException e) {
+      findings.error(entry.line(), path, e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private void readPool(PoolId pool, YamlNode.Entry entry, Map<PoolId, PoolSettings> into) {
+    // A pool with errors still exists for the teams that name it.
+    pools.put(pool, Optional.empty());
+    Optional<PoolSettings> read = SettingsParser.pool(findings, pool, entry.value(), this);
+    if (read.isEmpty()) {
+      return;
+    }
+    pools.put(pool, Optional.of(read.get().kind()));
+    read.get().endpoints().forEach(endpoint -> endpoints.putIfAbsent(endpoint.id(), pool));
+    into.put(pool, read.get());
+  }
+
+  private void readTeam(TeamId team, YamlNode.Entry entry, Map<TeamId, TeamSettings> into) {
+    Optional<TeamSettings> read = SettingsParser.team(findings, team, entry.value(), this);
+    if (read.isEmpty()) {
+      return;
+    }
+    read.get().tokenHashes().forEach(hash -> tokens.putIfAbsent(hash, team));
+    into.put(team, read.get());
+  }
+
+  @Override
+  public boolean hasPool(PoolId pool) {
+    return pools.containsKey(pool);
+  }
+
+  @Override
+  public Optional<PoolKind> poolKind(PoolId pool) {
+    return pools.getOrDefault(pool, Optional.empty());
+  }
+
+  @Override
+  public Optional<TeamId> teamOfToken(String tokenHash) {
+    return Optional.ofNullable(tokens.get(tokenHash));
+  }
+
+  @Override
+  public Optional<PoolId> poolOfEndpoint(EndpointId endpoint) {
+    return Optional.ofNullable(endpoints.get(endpoint));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/YamlNode.java
@@ -0,0 +1,60 @@
+package io.magnoliaroute.core.settings;
+
+import java.util.List;
+import java.util.Map;
+
+/** A node of a YAML document with its line. */
+sealed interface YamlNode {
+
+  /** Returns the line of the node, from 1. */
+  int line();
+
+  /** Returns the type in the words of an error message. */
+  String typeName();
+
+  /** A mapping; its entries keep their order. */
+  record Mapping(int line, Map<String, Entry> entries) implements YamlNode {
+    @Override
+    public String typeName() {
+      return "mapping";
+    }
+  }
+
+  /** The value of a key, with the line of the key. */
+  record Entry(int line, YamlNode value) {}
+
+  /** A list. */
+  record Sequence(int line, List<YamlNode> items) implements YamlNode {
+    @Override
+    public String typeName() {
+      return "list";
+    }
+  }
+
+  /** A single value. */
+  record Scalar(int line, ScalarType type, String text) implements YamlNode {
+    @Override
+    public String typeName() {
+      return type.typeName();
+    }
+  }
+
+  /** The type of a single value. */
+  enum ScalarType {
+    TEXT("text"),
+    INTEGER("integer"),
+    DECIMAL("decimal number"),
+    BOOLEAN("boolean"),
+    NULL("nothing");
+
+    private final String typeName;
+
+    ScalarType(String typeName) {
+      this.typeName = typeName;
+    }
+
+    String typeName() {
+      return typeName;
+    }
+  }
+}
