Add the policy benchmark under a virtual clock

Change: sub-command policy drives the group scheduler with fake engines (continuous batching, chunked prompts, a prefix cache of 400,000 tokens) and callers with patience, for both workloads and all four policies.

--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/BenchMain.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/BenchMain.java
@@ -1,12 +1,46 @@
 package io.magnoliaroute.bench;
 
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import io.magnoliaroute.bench.policy.PolicyCommand;
+import java.util.concurrent.Callable;
+
 /** Starts the benchmarks. */
 public final class BenchMain {
 
+  private static final int EXIT_OK = 0;
+  private static final int EXIT_USAGE = 2;
+
   private BenchMain() {}
 
-  /** Runs the program with the given arguments. */
-  public static void main(String[] args) {
-    System.exit(2);
+  /** Runs the sub-command with the given arguments. */
+  public static void main(String[] args) throws Exception {
+    System.exit(run(args));
+  }
+
+  private static int run(String[] args) throws Exception {
+    Object command;
+    try {
+      command = cli().parse(args);
+    } catch (ParseException e) {
+      System.err.println(e.getMessage());
+      return EXIT_USAGE;
+    }
+    if (command instanceof Callable<?> callable) {
+      return (Integer) callable.call();
+    }
+    ((Runnable) command).run();
+    return EXIT_OK;
+  }
+
+  private static Cli<Object> cli() {
+    CliBuilder<Object> builder = Cli.builder("magnoliaroute-bench");
+    builder.withDescription("Benchmarks of magnoliaroute");
+    builder.withDefaultCommand(Help.class);
+    builder.withCommand(Help.class);
+    builder.withCommand(PolicyCommand.class);
+    return builder.build();
   }
 }
