--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipCodecTest.java
@@ -0,0 +1,58 @@
+package io.magnoliaroute.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.magnoliaroute.core.model.VmId;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class MembershipCodecTest {
+
+  private static final MemberDelta SENDER =
+      new MemberDelta(SimulatedNetwork.info("vm-1", "natal"), Long.MAX_VALUE, MemberState.ALIVE);
+  private static final MemberDelta OTHER =
+      new MemberDelta(SimulatedNetwork.info("vm-2", "touros"), 7, MemberState.LEAVING);
+  private static final Gossip GOSSIP = new Gossip(SENDER, 41, -1, Long.MIN_VALUE, List.of(OTHER));
+  private static final List<MembershipMessage> MESSAGES =
+      List.of(
+          new MembershipMessage.Ping(1, true, GOSSIP),
+          new MembershipMessage.PingReq(2, new VmId("vm-3"), GOSSIP),
+          new MembershipMessage.Ack(-3, GOSSIP));
+
+  /** Guards against a field that is lost or exchanged on the way between VMs. */
+  @Test
+  void messagesAreReadAsTheyWereWritten() throws MalformedMessageException {
+    for (MembershipMessage message : MESSAGES) {
+      assertEquals(message, MembershipCodec.decode(MembershipCodec.encode(message)));
+    }
+  }
+
+  /** Guards against truncated or damaged bytes that end the event loop with another exception. */
+  @Test
+  void damagedBytesAreReportedAsMalformed() {
+    Random random = new Random(5);
+    for (MembershipMessage message : MESSAGES) {
+      byte[] bytes = MembershipCodec.encode(message);
+      for (int length = 0; length < bytes.length; length++) {
+        byte[] cut = Arrays.copyOf(bytes, length);
+        assertThrows(MalformedMessageException.class, () -> MembershipCodec.decode(cut));
+      }
+      for (int i = 0; i < 2_000; i++) {
+        byte[] damaged = bytes.clone();
+        damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+        decodeOrReport(damaged);
+      }
+    }
+  }
+
+  private static void decodeOrReport(byte[] bytes) {
+    try {
+      MembershipCodec.decode(bytes);
+    } catch (MalformedMessageException expected) {
+      assertEquals(MalformedMessageException.class, expected.getClass());
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
@@ -0,0 +1,212 @@
+package io.magnoliaroute.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.membership.SimulatedNetwork.Host;
+import io.magnoliaroute.core.model.VmId;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class MembershipControllerTest {
+
+  private static final long SEED = 11;
+  private static final long START_LIMIT_MS = 10_000;
+
+  private SimulatedNetwork network;
+  private Host first;
+  private Host second;
+
+  @BeforeEach
+  void startThreeDataCentres() {
+    network = new SimulatedNetwork(SEED, 3, 3);
+    network.runUntil(network::isConverged, START_LIMIT_MS, "convergence from a cold start");
+    List<Host> hosts = network.running();
+    first = hosts.get(0);
+    second = hosts.get(1);
+  }
+
+  @Nested
+  final class WhenAVmCrashes {
+
+    /** Guards against a crash that stays unseen on some VM while messages are lost. */
+    @Test
+    void itIsDeadEverywhereWithinTheBoundInSpiteOfLoss() {
+      network.loss = 0.1;
+      second.running = false;
+      network.run(network.crashBoundMs());
+      for (Host observer : network.running()) {
+        assertEquals(MemberState.DEAD, observer.stateOf(second.info.vm()), SEED + "");
+      }
+    }
+
+    /** Guards against a table that grows with each replaced VM. */
+    @Test
+    void itIsForgottenAfterTheRetentionAndDoesNotComeBack() {
+      second.running = false;
+      network.run(SimulatedNetwork.SETTINGS.deadRetentionMs() + 2 * network.crashBoundMs());
+      for (Host observer : network.running()) {
+        assertTrue(observer.controller.view().member(second.info.vm()).isEmpty());
+      }
+    }
+
+    /** Guards against a restarted VM that stays dead because its incarnation is too low. */
+    @Test
+    void aRestartWithALowerIncarnationIsAliveAgain() {
+      second.running = false;
+      network.run(network.crashBoundMs());
+      network.start(second);
+      second.controller =
+          new MembershipController(
+              second.info, 1, SimulatedNetwork.SETTINGS, network.random, network.nowMs);
+      second.controller.addSeed(first.info.vm(), first.info.address());
+      network.runUntil(network::isConverged, network.healBoundMs(), "return of the VM");
+    }
+  }
+
+  @Nested
+  final class WhenLinksFail {
+
+    /** Guards against a VM that is called dead although others still reach it both ways. */
+    @Test
+    void oneLinkCutInOneDirectionLeavesBothAlive() {
+      network.link(first, second, false);
+      for (int i = 0; i < 600; i++) {
+        network.step();
+        assertTrue(network.isConverged(), () -> network.differences());
+      }
+    }
+
+    /** Guards against data centres that never find each other again after a partition. */
+    @Test
+    void aHealedPartitionConvergesWithinTheBound() {
+      network.partition("dc-0");
+      network.run(60_000);
+      assertFalse(network.isConverged());
+      network.healAll();
+      network.runUntil(network::isConverged, network.healBoundMs(), "convergence after healing");
+    }
+  }
+
+  @Nested
+  final class WhenTheVmItselfIsPaused {
+
+    /** Guards against writes under claims that another VM took over during the pause. */
+    @Test
+    void aLongPauseStartsANewIncarnationAndIsReported() {
+      long before = first.controller.view().selfIncarnation();
+      first.events.clear();
+      first.pausedUntilMs = network.nowMs + SimulatedNetwork.SETTINGS.suspicionMs() + 500;
+      network.run(4_000);
+      assertTrue(
+          first.events.stream().anyMatch(MembershipEvent.OwnPauseDetected.class::isInstance));
+      assertTrue(first.controller.view().selfIncarnation() > before);
+    }
+
+    /** Guards against a VM that calls its peers dead because it did not read their answers. */
+    @Test
+    void itDoesNotJudgeOthersAfterwards() {
+      first.pausedUntilMs = network.nowMs + 10_000;
+      network.run(10_000);
+      for (int i = 0; i < 50; i++) {
+        network.step();
+        for (Host other : network.running()) {
+          assertEquals(MemberState.ALIVE, first.stateOf(other.info.vm()));
+        }
+      }
+    }
+  }
+
+  @Nested
+  final class WhenThePlatformListLags {
+
+    /** Guards against a list that makes a VM dead which answers probes. */
+    @Test
+    void aVmThatIsNotListedStaysAlive() {
+      network.running().forEach(host -> host.controller.applyPlatformList(list(1), 0));
+      network.run(10_000);
+      assertTrue(network.isConverged(), () -> network.differences());
+    }
+
+    /** Guards against an older list that ends a leaving mark. */
+    @Test
+    void aLeavingMarkStaysUntilANewerListLiftsIt() {
+      first.controller.applyPlatformList(list(5, leaving(second, true)), network.nowMs);
+      network.run(5_000);
+      network
+          .running()
+          .forEach(
+              host ->
+                  host.controller.applyPlatformList(
+                      list(4, leaving(second, false)), network.nowMs));
+      network.run(5_000);
+      assertStateEverywhere(MemberState.LEAVING, second.info.vm());
+      assertTrue(second.events.contains(new MembershipEvent.OwnLeavingMarked()));
+      second.controller.applyPlatformList(list(6, leaving(second, false)), network.nowMs);
+      network.run(5_000);
+      assertStateEverywhere(MemberState.ALIVE, second.info.vm());
+    }
+  }
+
+  @Nested
+  final class WhenAVmStops {
+
+    /** Guards against a stopping VM that still owns state, or is suspected for seconds. */
+    @Test
+    void itsMarkAndItsEndAreSeenEverywhereWithinASecondAndAHalf() {
+      network.send(second.info.vm(), second.controller.leave(network.nowMs));
+      network.run(1_500);
+      assertStateEverywhere(MemberState.LEAVING, second.info.vm());
+      assertFalse(first.controller.view().owners().contains(second.info.vm()));
+      network.send(second.info.vm(), second.controller.stopped(network.nowMs));
+      second.running = false;
+      network.run(1_500);
+      assertStateEverywhere(MemberState.DEAD, second.info.vm());
+    }
+  }
+
+  /** Guards against gossip that goes on for ever or grows with the changes that wait. */
+  @Test
+  void deltasAreSentALimitedNumberOfTimesAndFew() {
+    DeltaQueue queue = new DeltaQueue();
+    for (int i = 0; i < 100; i++) {
+      queue.add(new VmId("vm-" + i));
+    }
+    int sends = 0;
+    for (List<VmId> taken = queue.take(12, 5); !taken.isEmpty(); taken = queue.take(12, 5)) {
+      assertTrue(taken.size() <= 12);
+      sends += taken.size();
+    }
+    assertEquals(500, sends);
+  }
+
+  /** Guards against a newer settings version that a VM is not told of. */
+  @Test
+  void aNewerSettingsVersionIsReportedByEveryOtherVm() {
+    network.running().forEach(host -> host.events.clear());
+    first.controller.configVersion(9);
+    network.run(5_000);
+    for (Host host : network.running()) {
+      boolean told =
+          host.events.stream().anyMatch(MembershipEvent.NewerConfigSeen.class::isInstance);
+      assertEquals(host == first, !told);
+    }
+  }
+
+  private void assertStateEverywhere(MemberState expected, VmId vm) {
+    for (Host observer : network.running()) {
+      assertEquals(expected, observer.stateOf(vm), observer.info.vm()::value);
+    }
+  }
+
+  private static PlatformList list(long version, PlatformList.PlatformVm... vms) {
+    return new PlatformList(version, List.of(vms));
+  }
+
+  private static PlatformList.PlatformVm leaving(Host host, boolean leaving) {
+    return new PlatformList.PlatformVm(host.info.vm(), host.info.address(), leaving);
+  }
+}
