Add retry planning, loop limits and tool timeouts

Change: RetryPlanner checks that a second run does no harm, then the deadline, then the budget, and draws the delay from the whole exponential range. LoopGuard applies the turn, token and repetition limits and finds cycles of up to four calls. ToolTimeout decides about calls without an answer. RetryBudget drops full buckets first when it reaches its bound, as they hold nothing.

--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/retry/LoopVerdict.java
@@ -0,0 +1,18 @@
+package io.magnoliaroute.core.retry;
+
+/** Whether a program may make its next call. */
+public enum LoopVerdict {
+  /** The call is within the limits. */
+  CONTINUE,
+  /** The program has made as many calls as the team allows. */
+  TURN_LIMIT,
+  /** The program has consumed as many tokens as the team allows. */
+  TOKEN_LIMIT,
+  /** The program repeats a call, or a short cycle of calls. */
+  REPETITION;
+
+  /** Returns whether the program must be stopped. */
+  public boolean stopsProgram() {
+    return this != CONTINUE;
+  }
+}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/retry/RetryBudget.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/retry/RetryBudget.java
@@ -17,7 +17,7 @@
 
   private static final double MS_PER_SECOND = 1_000.0;
 
-  /** Pairs kept; the one unused longest is dropped and starts with the floor again. */
+  /** Pairs kept; full buckets are dropped first, then the one refilled longest ago. */
   static final int MAX_BUCKETS = 10_000;
 
   private final RetrySettings settings;
@@ -71,25 +71,39 @@
     if (bucket == null) {
       bucket = addBucket(key, nowMs);
     }
+    refill(bucket, nowMs);
+    return bucket;
+  }
+
+  private void refill(Bucket bucket, long nowMs) {
     long elapsedMs = Math.max(0, nowMs - bucket.refilledAtMs);
     double earned = elapsedMs * settings.floorPerSecond() / MS_PER_SECOND;
     bucket.tokens = Math.min(settings.burst(), bucket.tokens + earned);
     bucket.refilledAtMs = Math.max(bucket.refilledAtMs, nowMs);
-    return bucket;
   }
 
   private Bucket addBucket(Key key, long nowMs) {
+    if (buckets.size() >= MAX_BUCKETS) {
+      dropFull(nowMs);
+    }
     Bucket bucket = new Bucket();
     bucket.refilledAtMs = nowMs;
-    // A bucket that returns after it was dropped must not start full, or dropping would refill it.
-    bucket.tokens = buckets.size() < MAX_BUCKETS ? settings.burst() : 0;
+    bucket.tokens = settings.burst();
     if (buckets.size() >= MAX_BUCKETS) {
+      // The new pair may have been dropped before; starting full would refill it.
+      bucket.tokens = 0;
       dropOldest();
     }
     buckets.put(key, bucket);
     return bucket;
   }
 
+  // A full bucket is the same as none.
+  private void dropFull(long nowMs) {
+    buckets.values().forEach(bucket -> refill(bucket, nowMs));
+    buckets.values().removeIf(bucket -> bucket.tokens >= settings.burst());
+  }
+
   private void dropOldest() {
     Key oldest = null;
     long oldestMs = Long.MAX_VALUE;
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/retry/QuarantineTest.java
@@ -0,0 +1,89 @@
+package io.magnoliaroute.core.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.EndpointId;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+final class QuarantineTest {
+
+  private static final QuarantineSettings SETTINGS = new QuarantineSettings(2, 1_000, 5_000, 3);
+  private static final Fingerprint CRASHING = Fingerprint.ofModelCall("m", List.of("bad"));
+  private static final EndpointId FIRST = new EndpointId("engine-1");
+  private static final EndpointId SECOND = new EndpointId("engine-2");
+
+  private final Quarantine quarantine = new Quarantine(SETTINGS);
+
+  /** Guards against a request that goes on to crash a third endpoint. */
+  @Test
+  void aRequestIsRefusedAfterItCrashedTwoEndpoints() {
+    assertEquals(Optional.empty(), quarantine.crashed(CRASHING, FIRST, 0));
+    assertFalse(quarantine.refused(CRASHING, 0));
+    assertEquals(Set.of(FIRST), quarantine.crashedEndpoints(CRASHING, 0));
+    assertEquals(
+        Optional.of(new Quarantine.QuarantineOrder(CRASHING, 5_100)),
+        quarantine.crashed(CRASHING, SECOND, 100));
+    assertTrue(quarantine.refused(CRASHING, 5_099));
+    assertFalse(quarantine.refused(CRASHING, 5_100));
+  }
+
+  /** Guards against two crashes of one endpoint for one attempt that are counted as two. */
+  @Test
+  void aCrashReportedTwiceCountsOnce() {
+    assertEquals(Optional.empty(), quarantine.crashed(CRASHING, FIRST, 0));
+    assertEquals(Optional.empty(), quarantine.crashed(CRASHING, FIRST, 1));
+  }
+
+  /** Guards against a request that is refused for crashes hours apart. */
+  @Test
+  void suspicionEndsWithTime() {
+    quarantine.crashed(CRASHING, FIRST, 0);
+    assertTrue(quarantine.suspected(CRASHING, 999));
+    assertFalse(quarantine.suspected(CRASHING, 1_000));
+    assertEquals(Optional.empty(), quarantine.crashed(CRASHING, SECOND, 1_000));
+  }
+
+  /** Guards against VMs that differ because they read records more than once or out of order. */
+  @Test
+  void recordsOfOtherVmsAreMergedInAnyOrder() {
+    quarantine.applyQuarantined(CRASHING, 9_000);
+    quarantine.applyQuarantined(CRASHING, 4_000);
+    quarantine.applyQuarantined(CRASHING, 9_000);
+    assertTrue(quarantine.refused(CRASHING, 8_999));
+    assertEquals(1, quarantine.refusedRequests(0).size());
+  }
+
+  /** Guards against a quarantine that grows with a flood of different requests. */
+  @Test
+  void entriesAreBoundedAndTheOldestGoesFirst() {
+    for (int i = 0; i < 10; i++) {
+      Fingerprint f = Fingerprint.ofModelCall("m", List.of("request " + i));
+      quarantine.applyQuarantined(f, 5_000);
+      quarantine.crashed(Fingerprint.ofModelCall("n", List.of("request " + i)), FIRST, 0);
+    }
+    assertEquals(3, quarantine.refusedRequests(0).size());
+    assertTrue(quarantine.refused(Fingerprint.ofModelCall("m", List.of("request 9")), 0));
+    assertFalse(quarantine.suspected(Fingerprint.ofModelCall("n", List.of("request 0")), 0));
+    quarantine.expire(6_000);
+    assertEquals(0, quarantine.refusedRequests(0).size());
+  }
+
+  /**
+   * Guards against two different requests with one fingerprint, which would refuse the innocent.
+   */
+  @Test
+  void fingerprintsKeepThePartsApart() {
+    assertNotEquals(
+        Fingerprint.ofModelCall("m", List.of("ab", "c")),
+        Fingerprint.ofModelCall("m", List.of("a", "bc")));
+    assertNotEquals(
+        Fingerprint.ofServiceCall("s", "op", "x"),
+        Fingerprint.ofModelCall("s", List.of("op", "x")));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/retry/RetryTest.java
@@ -0,0 +1,201 @@
+package io.magnoliaroute.core.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.Outcome;
+import io.magnoliaroute.core.model.PoolId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.settings.ProgramLimits;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class RetryTest {
+
+  private static final TeamId TEAM = new TeamId("orders");
+  private static final PoolId POOL = new PoolId("models");
+  private static final RetrySettings SETTINGS = new RetrySettings(0.1, 0.2, 10, 50, 2_000);
+  private static final ProgramLimits LIMITS = new ProgramLimits(50, 1_000, 3, 5_000, 60_000);
+
+  private final RetryBudget budget = new RetryBudget(SETTINGS);
+  private final RetryPlanner planner = new RetryPlanner(SETTINGS, budget, new Random(3));
+
+  @Nested
+  final class WhenAPoolFailsEveryCall {
+
+    /** Guards against retries that multiply the load of a pool in trouble. */
+    @Test
+    void retriesAreTheBurstAndThenTheFloor() {
+      int retries = 0;
+      for (long nowMs = 0; nowMs < 100_000; nowMs += 10) {
+        retries += budget.tryAcquire(TEAM, POOL, nowMs) ? 1 : 0;
+      }
+      assertEquals(10 + 19, retries, 1);
+    }
+
+    /** Guards against one team that uses up the retries of another, or of another pool. */
+    @Test
+    void otherTeamsAndPoolsKeepTheirs() {
+      drain();
+      assertTrue(budget.tryAcquire(new TeamId("stock"), POOL, 0));
+      assertTrue(budget.tryAcquire(TEAM, new PoolId("payments"), 0));
+    }
+
+    /** Guards against hedges that bypass the budget, and hedges of payments. */
+    @Test
+    void hedgesDrawOnTheSameBudgetAndNeedAnIdempotentCall() {
+      assertFalse(budget.tryAcquireHedge(TEAM, POOL, false, 0));
+      assertEquals(10, budget.available(TEAM, POOL, 0));
+      drain();
+      assertFalse(budget.tryAcquireHedge(TEAM, POOL, true, 0));
+    }
+
+    /** Guards against a clock that steps back and then refills the bucket twice. */
+    @Test
+    void aClockThatStepsBackEarnsNothing() {
+      drain();
+      for (int i = 0; i < 100; i++) {
+        assertFalse(budget.tryAcquire(TEAM, POOL, -60_000));
+        assertFalse(budget.tryAcquire(TEAM, POOL, 0));
+      }
+    }
+
+    private void drain() {
+      while (budget.tryAcquire(TEAM, POOL, 0)) {
+        assertTrue(budget.available(TEAM, POOL, 0) >= 0);
+      }
+    }
+  }
+
+  /** Guards against budgets that never recover, or recover in full at the first success. */
+  @Test
+  void tenSuccessesEarnOneRetry() {
+    while (budget.tryAcquire(TEAM, POOL, 0)) {
+      assertTrue(budget.available(TEAM, POOL, 0) >= 0);
+    }
+    for (int i = 0; i < 9; i++) {
+      budget.succeeded(TEAM, POOL, 0);
+    }
+    assertFalse(budget.tryAcquire(TEAM, POOL, 0));
+    budget.succeeded(TEAM, POOL, 0);
+    budget.succeeded(TEAM, POOL, 0);
+    assertTrue(budget.tryAcquire(TEAM, POOL, 0));
+    assertFalse(budget.tryAcquire(TEAM, POOL, 0));
+  }
+
+  /** Guards against a map that grows with every team that was ever seen. */
+  @Test
+  void bucketsAreBoundedAndADroppedOneDoesNotStartFull() {
+    for (int i = 0; i < RetryBudget.MAX_BUCKETS + 10; i++) {
+      budget.tryAcquire(new TeamId("team-" + i), POOL, 0);
+    }
+    assertEquals(RetryBudget.MAX_BUCKETS, budget.size());
+    assertFalse(budget.tryAcquire(new TeamId("new-team"), POOL, 0));
+    budget.tryAcquire(new TeamId("later"), POOL, 5_000);
+    // After 5 s all are full again but the 11 that started empty.
+    assertEquals(11 + 1, budget.size());
+  }
+
+  @Nested
+  final class WhenAnAttemptHasFailed {
+
+    /** Guards against a payment that is sent a second time. */
+    @Test
+    void aCallThatMayHaveRunIsNotRepeated() {
+      assertGivenUp(RetryDecision.Reason.MAY_HAVE_RUN, attempt(0, false, 60_000, 0));
+      assertEquals(10, budget.available(TEAM, POOL, 0));
+    }
+
+    /** Guards against retries that nobody waits for and that cost a retry all the same. */
+    @Test
+    void aRetryThatCannotEndBeforeTheDeadlineIsNotMadeOrPaidFor() {
+      assertGivenUp(RetryDecision.Reason.DEADLINE, attempt(0, true, 999, 0));
+      assertGivenUp(RetryDecision.Reason.DEADLINE, attempt(0, true, 1_500, 501));
+      assertEquals(10, budget.available(TEAM, POOL, 0));
+    }
+
+    /** Guards against synchronised retries, and against delays past the bound or the deadline. */
+    @Test
+    void delaysAreSpreadOverAnExponentialRangeWithinTheDeadline() {
+      List<Long> delaysMs = new ArrayList<>();
+      for (int i = 0; i < 200; i++) {
+        budget.succeeded(TEAM, POOL, i * 10_000L);
+        long nowMs = i * 10_000L;
+        RetryDecision decision = planner.decide(attempt(3, true, nowMs + 1_300, 0), nowMs);
+        delaysMs.add(assertInstanceOf(RetryDecision.RetryAt.class, decision).atMs() - nowMs);
+      }
+      assertTrue(delaysMs.stream().allMatch(delayMs -> delayMs >= 0 && delayMs <= 300));
+      assertTrue(delaysMs.stream().distinct().count() > 50, delaysMs::toString);
+    }
+
+    private void assertGivenUp(RetryDecision.Reason reason, FailedAttempt failed) {
+      assertEquals(new RetryDecision.GiveUp(reason), planner.decide(failed, 0));
+    }
+
+    private FailedAttempt attempt(
+        int number, boolean mayRunAgain, long deadlineMs, long retryAfterMs) {
+      return new FailedAttempt(TEAM, POOL, number, mayRunAgain, deadlineMs, 1_000, retryAfterMs);
+    }
+  }
+
+  @Nested
+  final class WhenAProgramLoops {
+
+    private final LoopGuard guard = new LoopGuard(LIMITS);
+
+    /** Guards against a program that makes the same call for ever. */
+    @Test
+    void equalCallsInARowAreStopped() {
+      assertEquals(4, callsUntilStopped(LoopVerdict.REPETITION, "a"));
+    }
+
+    /** Guards against a program that alternates between two calls for ever. */
+    @Test
+    void aRepeatedCycleIsStopped() {
+      assertEquals(8, callsUntilStopped(LoopVerdict.REPETITION, "a", "b"));
+    }
+
+    /** Guards against limits that are off by one or not enforced. */
+    @Test
+    void turnsAndTokensAreLimited() {
+      for (int i = 0; i < LIMITS.maxTurns(); i++) {
+        assertEquals(LoopVerdict.CONTINUE, guard.next(call("call " + i)));
+      }
+      assertEquals(LoopVerdict.TURN_LIMIT, guard.next(call("one more")));
+      LoopGuard other = new LoopGuard(LIMITS);
+      other.consumed(LIMITS.maxTokens());
+      assertEquals(LoopVerdict.TOKEN_LIMIT, other.next(call("a")));
+    }
+
+    private int callsUntilStopped(LoopVerdict expected, String... cycle) {
+      for (int calls = 1; ; calls++) {
+        LoopVerdict verdict = guard.next(call(cycle[calls % cycle.length]));
+        if (verdict.stopsProgram()) {
+          assertEquals(expected, verdict);
+          return calls;
+        }
+      }
+    }
+
+    private static Fingerprint call(String arguments) {
+      return Fingerprint.ofServiceCall("stock", "read", arguments);
+    }
+  }
+
+  /**
+   * Guards against a tool call that hangs for ever, or is reported as not run after its sending.
+   */
+  @Test
+  void aToolCallIsHungAfterItsTimeoutOrDeadline() {
+    assertEquals(
+        new ToolTimeout.Wait(6_000), ToolTimeout.decide(1_000, 9_000, true, LIMITS, 5_999));
+    ToolTimeout.Hung hung = new ToolTimeout.Hung(false, Outcome.UNKNOWN);
+    assertEquals(hung, ToolTimeout.decide(1_000, 9_000, false, LIMITS, 6_000));
+    assertEquals(hung, ToolTimeout.decide(1_000, 2_000, false, LIMITS, 2_000));
+  }
+}
