--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/action/ActionFlow.java
@@ -0,0 +1,395 @@
+package io.magnoliaroute.core.action;
+
+import io.magnoliaroute.core.log.AbandonResult;
+import io.magnoliaroute.core.log.RecordId;
+import io.magnoliaroute.core.log.RecordSequence;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.Outcome;
+import io.magnoliaroute.core.program.ActionView;
+import io.magnoliaroute.core.program.AppliedRecord;
+import io.magnoliaroute.core.program.PartitionLease;
+import io.magnoliaroute.core.program.PartitionOwner;
+import io.magnoliaroute.core.program.PartitionReader;
+import io.magnoliaroute.core.program.ProgramRecord;
+import io.magnoliaroute.core.program.ProgramView;
+import io.magnoliaroute.core.program.Refusal;
+import io.magnoliaroute.core.program.Verdict;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * One caller's request for a non-idempotent action, as a state machine without I/O.
+ *
+ * <p>The action is sent at most once: only by the flow whose intent holds the key, and only while
+ * the owner's lease is valid. The driver carries out the effects in order, passes on every record
+ * of the partition that is applied, and keeps the flow until {@link #closed} holds, also after the
+ * reply. Not safe for use by several threads.
+ */
+public final class ActionFlow {
+
+  private enum Phase {
+    NEW,
+    /** The intent is appended and has no verdict. */
+    WAITING_INTENT,
+    /** The action may be sent. */
+    READY,
+    /** The request was sent and is not answered. */
+    SENT,
+    /** The answer was lost and the service is asked. */
+    QUERYING,
+    /** The intent is given up and the abandon has no verdict. */
+    ABANDONING,
+    /** The outcome is known here and not read back. */
+    RECORDING,
+    /** The intent of another request holds the key. */
+    WAITING_OTHER,
+    CLOSED
+  }
+
+  private final ActionRequest request;
+  private final ServiceTraits traits;
+  private final ActionTiming timing;
+  private final PartitionReader reader;
+  private final PartitionLease lease;
+  private final RecordSequence ids;
+  private final Outbox out = new Outbox();
+
+  private Phase phase = Phase.NEW;
+  private long arrivedAtMs;
+  private RecordId intentId;
+  private OptionalLong sentToken = OptionalLong.empty();
+  private ActionReason abandonReason;
+  private ActionReply known;
+
+  /** Makes a flow on the owner of the program's partition; the request is not idempotent. */
+  public ActionFlow(
+      ActionRequest request, ServiceTraits traits, ActionTiming timing, PartitionOwner owner) {
+    this.request = Objects.requireNonNull(request, "request");
+    this.traits = Objects.requireNonNull(traits, "traits");
+    this.timing = Objects.requireNonNull(timing, "timing");
+    this.reader = owner.reader();
+    this.lease = owner.lease();
+    this.ids = owner.ids();
+    if (request.idempotent()) {
+      throw new IllegalArgumentException("request must not be idempotent: " + request.key());
+    }
+  }
+
+  /** Starts the flow when the request arrives. */
+  public List<ActionEffect> start(long nowMs) {
+    if (phase != Phase.NEW) {
+      throw new IllegalStateException("already started: " + request.key());
+    }
+    arrivedAtMs = nowMs;
+    out.wakeAt(request.deadlineAtMs());
+    reserveKey(nowMs);
+    recheck(nowMs);
+    return out.take();
+  }
+
+  /** Takes a record of the partition that was applied. */
+  public List<ActionEffect> onApplied(AppliedRecord applied, long nowMs) {
+    if (applied.record().id().equals(intentId)) {
+      onIntentApplied(applied, nowMs);
+    } else if (phase == Phase.ABANDONING
+        && applied.record() instanceof ProgramRecord.ActionAbandoned abandoned
+        && abandoned.intent().equals(intentId)
+        && applied.verdict().accepted()) {
+      refuse(abandonReason, true);
+    }
+    recheck(nowMs);
+    return out.take();
+  }
+
+  /** Looks at the state anew after it was taken from a snapshot. */
+  public List<ActionEffect> onRestored(long nowMs) {
+    if (phase == Phase.WAITING_INTENT) {
+      onIntentRestored();
+    } else if (phase == Phase.ABANDONING) {
+      // The verdict may have been lost with the records that the snapshot replaced.
+      out.append(new ProgramRecord.ActionAbandoned(ids.next(), intentId));
+    }
+    recheck(nowMs);
+    return out.take();
+  }
+
+  /** Looks at the clock; an early call does no harm. */
+  public List<ActionEffect> tick(long nowMs) {
+    out.appendRefusedAgain();
+    boolean giveUp = nowMs >= request.deadlineAtMs() - timing.giveUpBeforeMs();
+    if (giveUp && phase == Phase.WAITING_INTENT) {
+      abandonReason = ActionReason.DEADLINE_BEFORE_SEND;
+      phase = Phase.ABANDONING;
+      out.add(new ActionEffect.CancelAppend(intentId));
+    }
+    if (giveUp && phase == Phase.READY) {
+      giveUpReady(ActionReason.DEADLINE_BEFORE_SEND);
+    }
+    if (phase == Phase.QUERYING) {
+      queryStatus();
+    }
+    recheck(nowMs);
+    if (nowMs >= request.deadlineAtMs()) {
+      onDeadline();
+    }
+    return out.take();
+  }
+
+  /** Takes the committer's answer to {@link ActionEffect.CancelAppend}. */
+  public List<ActionEffect> appendCancelled(AbandonResult result, long nowMs) {
+    if (phase != Phase.ABANDONING) {
+      return out.take();
+    }
+    if (result == AbandonResult.NEVER_APPENDED) {
+      refuse(abandonReason, false);
+      return out.take();
+    }
+    out.append(new ProgramRecord.ActionAbandoned(ids.next(), intentId));
+    return out.take();
+  }
+
+  /** Takes the committer's refusal of a record, which is then not appended. */
+  public List<ActionEffect> appendRefused(RecordId id, long nowMs) {
+    if (phase == Phase.WAITING_INTENT && id.equals(intentId)) {
+      refuse(ActionReason.LOG_FULL, false);
+      return out.take();
+    }
+    out.refused(id, nowMs + timing.retryMs());
+    return out.take();
+  }
+
+  /**
+   * Checks the lease and the deadline and returns the {@link ActionEffect.Send} if the request may
+   * go out. The driver sends it without any wait in between.
+   */
+  public List<ActionEffect> beginSend(long nowMs) {
+    out.prepared();
+    if (phase != Phase.READY) {
+      return out.take();
+    }
+    if (nowMs > request.deadlineAtMs() - timing.minSendMs()) {
+      giveUpReady(ActionReason.DEADLINE_BEFORE_SEND);
+      return out.take();
+    }
+    if (!lease.validAt(nowMs)) {
+      recheck(nowMs);
+      return out.take();
+    }
+    phase = Phase.SENT;
+    sentToken = lease.claimOffset();
+    out.add(new ActionEffect.Send(request, sentToken));
+    return out.take();
+  }
+
+  /** Takes the service's answer. */
+  public List<ActionEffect> onAnswer(Bytes result, long nowMs) {
+    if (phase == Phase.SENT || phase == Phase.QUERYING) {
+      settle(new ActionReply(Outcome.DONE, ActionReason.SERVICE_ANSWERED, result));
+    }
+    return out.take();
+  }
+
+  /** Takes a failure of the request. */
+  public List<ActionEffect> onSendFailed(SendFailure failure, long nowMs) {
+    if (phase != Phase.SENT) {
+      return out.take();
+    }
+    if (failure.didNotRun()) {
+      settle(ActionReply.of(Outcome.NOT_RUN, ActionReason.SERVICE_DID_NOT_RUN));
+    } else if (!traits.statusQuery()) {
+      settle(ActionReply.of(Outcome.UNKNOWN, ActionReason.ANSWER_LOST));
+    } else {
+      phase = Phase.QUERYING;
+      queryStatus();
+    }
+    return out.take();
+  }
+
+  /** Takes the answer to a status query that carried the given token. */
+  public List<ActionEffect> onStatus(StatusAnswer answer, long fencingToken, long nowMs) {
+    if (phase != Phase.QUERYING) {
+      return out.take();
+    }
+    Optional<ActionReply> reply =
+        StatusRule.outcome(answer, traits, fencingToken, sentToken.orElseThrow());
+    if (reply.isPresent()) {
+      settle(reply.get());
+    } else if (nowMs >= request.deadlineAtMs()) {
+      settle(ActionReply.of(Outcome.UNKNOWN, ActionReason.ANSWER_LOST));
+    } else {
+      out.wakeAt(nowMs + timing.retryMs());
+    }
+    return out.take();
+  }
+
+  /** Returns whether the flow needs no further events. */
+  public boolean closed() {
+    return phase == Phase.CLOSED;
+  }
+
+  private void reserveKey(long nowMs) {
+    Optional<ActionView> action = action();
+    if (action.isPresent()) {
+      followOther(action.get());
+      return;
+    }
+    if (!reader.complete() || lease.status() != PartitionLease.Status.HELD) {
+      refuse(ActionReason.NOT_OWNER, false);
+      return;
+    }
+    Optional<ActionReason> refusal = checkProgram();
+    if (refusal.isPresent()) {
+      refuse(refusal.get(), false);
+      return;
+    }
+    long giveUpAtMs = request.deadlineAtMs() - timing.giveUpBeforeMs();
+    if (nowMs >= giveUpAtMs) {
+      refuse(ActionReason.DEADLINE_BEFORE_SEND, false);
+      return;
+    }
+    phase = Phase.WAITING_INTENT;
+    intentId = ids.next();
+    out.append(request.intent(intentId, lease.epoch()));
+    out.wakeAt(giveUpAtMs);
+  }
+
+  private Optional<ActionReason> checkProgram() {
+    Optional<ProgramView> program = reader.state().program(request.program());
+    if (program.isEmpty()) {
+      return Optional.of(ActionReason.PROGRAM_UNKNOWN);
+    }
+    return program.get().live() ? Optional.empty() : Optional.of(ActionReason.PROGRAM_ENDED);
+  }
+
+  private void followOther(ActionView action) {
+    boolean same =
+        action.service().equals(request.service()) && action.request().equals(request.content());
+    if (!same) {
+      out.reply(ActionReply.of(Outcome.NOT_RUN, ActionReason.KEY_OF_OTHER_REQUEST));
+      phase = Phase.CLOSED;
+      return;
+    }
+    phase = Phase.WAITING_OTHER;
+  }
+
+  private void onIntentApplied(AppliedRecord applied, long nowMs) {
+    if (phase != Phase.WAITING_INTENT || applied.verdict() instanceof Verdict.Duplicate) {
+      return;
+    }
+    if (applied.verdict().accepted()) {
+      phase = Phase.READY;
+      return;
+    }
+    Refusal refusal = ((Verdict.Refused) applied.verdict()).reason();
+    if (refusal == Refusal.KEY_USED) {
+      // The state may be ahead of this record, so that the key can be free again.
+      reserveKey(nowMs);
+      return;
+    }
+    refuse(ActionReasons.of(refusal), true);
+  }
+
+  private void onIntentRestored() {
+    Optional<ActionView> action = action();
+    if (action.isEmpty()) {
+      return;
+    }
+    if (action.get().intent().equals(intentId)) {
+      phase = Phase.READY;
+    } else {
+      followOther(action.get());
+    }
+  }
+
+  /** Looks for an outcome, a freed key, a lost claim and a lease that is valid again. */
+  private void recheck(long nowMs) {
+    if (!reader.complete() || phase == Phase.CLOSED) {
+      return;
+    }
+    Optional<ActionView> action = action();
+    if (action.flatMap(ActionView::outcome).isPresent() && follows(action.get())) {
+      replyRecorded(action.get());
+      return;
+    }
+    if (phase == Phase.WAITING_OTHER && out.replied()) {
+      phase = Phase.CLOSED;
+    }
+    if (phase == Phase.WAITING_OTHER && action.isEmpty()) {
+      reserveKey(nowMs);
+    }
+    if (phase != Phase.READY) {
+      return;
+    }
+    if (lease.status() == PartitionLease.Status.LOST) {
+      giveUpReady(ActionReason.NOT_OWNER);
+    } else if (lease.validAt(nowMs)) {
+      out.prepareSend();
+    } else {
+      out.wakeAt(nowMs + timing.retryMs());
+    }
+  }
+
+  private boolean follows(ActionView action) {
+    return phase == Phase.WAITING_OTHER || action.intent().equals(intentId);
+  }
+
+  private void replyRecorded(ActionView action) {
+    Outcome outcome = action.outcome().orElseThrow();
+    boolean own = known != null && known.outcome() == outcome;
+    ActionReason reason = own ? known.reason() : ActionReason.RECORDED_BEFORE;
+    out.reply(new ActionReply(outcome, reason, action.result()));
+    phase = Phase.CLOSED;
+  }
+
+  private void giveUpReady(ActionReason reason) {
+    phase = Phase.ABANDONING;
+    abandonReason = reason;
+    out.append(new ProgramRecord.ActionAbandoned(ids.next(), intentId));
+  }
+
+  /** Ends a request that was not sent and whose intent is not live. */
+  private void refuse(ActionReason reason, boolean verdictRead) {
+    Optional<ActionView> action = action();
+    if (action.isPresent() && !action.get().intent().equals(intentId)) {
+      followOther(action.get());
+      return;
+    }
+    boolean readSinceArrival =
+        verdictRead || reader.provenAtMs().orElse(Long.MIN_VALUE) >= arrivedAtMs;
+    if (request.freshKey() || readSinceArrival) {
+      out.reply(ActionReply.of(Outcome.NOT_RUN, reason));
+    } else {
+      out.reply(ActionReply.of(Outcome.UNKNOWN, ActionReason.KEY_NOT_VERIFIED));
+    }
+    phase = Phase.CLOSED;
+  }
+
+  private void onDeadline() {
+    if (phase == Phase.READY) {
+      giveUpReady(ActionReason.DEADLINE_BEFORE_SEND);
+    }
+    if (known != null) {
+      out.reply(known);
+    }
+    out.reply(ActionReply.of(Outcome.UNKNOWN, ActionReason.DEADLINE_WHILE_OPEN));
+    phase = phase == Phase.WAITING_OTHER ? Phase.CLOSED : phase;
+  }
+
+  /** Records what became of a request that was sent. */
+  private void settle(ActionReply outcome) {
+    known = outcome;
+    phase = Phase.RECORDING;
+    out.append(request.outcome(ids.next(), intentId, outcome));
+  }
+
+  private void queryStatus() {
+    long token = Math.max(lease.claimOffset().orElse(-1), sentToken.orElseThrow());
+    out.add(new ActionEffect.QueryStatus(request.service(), request.key(), token));
+  }
+
+  private Optional<ActionView> action() {
+    return reader.state().action(request.program(), request.key());
+  }
+}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/log/GroupCommitter.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/log/GroupCommitter.java
@@ -1,16 +1,13 @@
 package io.magnoliaroute.core.log;
 
 import io.magnoliaroute.core.model.Bytes;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -22,14 +19,14 @@
  */
 public final class GroupCommitter {
 
+  private static final int MAX_DOUBLINGS = 20;
+
   private static final class Pending {
-    private final RecordId id;
     private final Bytes payload;
     private final long addedAtMs;
     private boolean mayLand;
 
-    Pending(RecordId id, Bytes payload, long addedAtMs) {
-      this.id = id;
+    Pending(Bytes payload, long addedAtMs) {
       this.payload = payload;
       this.addedAtMs = addedAtMs;
     }
@@ -39,10 +36,11 @@
   private final CommitLimits limits;
   private final RandomGenerator jitter;
 
-  private final Deque<Pending> waiting = new ArrayDeque<>();
+  private final Map<RecordId, Pending> waiting = new LinkedHashMap<>();
   private Batch inFlight;
   private int repeatRecords;
   private int failures;
+  private long intervalEndsAtMs = Long.MIN_VALUE;
   private long notBeforeMs = Long.MIN_VALUE;
 
   private int pendingBytes;
@@ -61,6 +59,9 @@
 
   /** Takes a record for a later batch, or refuses it when the bounds are reached. */
   public AddResult add(LogRecord r, long nowMs) {
+    if (waiting.containsKey(r.id())) {
+      throw new IllegalArgumentException("record " + r.id() + " is held already");
+    }
     if (waiting.size() >= limits.maxPendingRecords()) {
       refused++;
       return AddResult.TOO_MANY_RECORDS;
@@ -70,7 +71,7 @@
       refused++;
       return AddResult.TOO_MANY_BYTES;
     }
-    waiting.addLast(new Pending(r.id(), payload, nowMs));
+    waiting.put(r.id(), new Pending(payload, nowMs));
     pendingBytes += payload.sizeBytes();
     return AddResult.ACCEPTED;
   }
@@ -80,12 +81,12 @@
     if (inFlight != null || waiting.isEmpty() || nowMs < notBeforeMs) {
       return Optional.empty();
     }
-    boolean repeat = failures > 0;
     inFlight = collect();
-    notBeforeMs = nowMs + limits.intervalMs();
+    intervalEndsAtMs = nowMs + limits.intervalMs();
+    notBeforeMs = intervalEndsAtMs;
     batches++;
     bytes += inFlight.sizeBytes();
-    retries += repeat ? 1 : 0;
+    retries += failures > 0 ? 1 : 0;
     return Optional.of(inFlight);
   }
 
@@ -106,9 +107,8 @@
       throw new IllegalArgumentException("firstOffset must not be negative, was " + firstOffset);
     }
     finish(b);
-    settle(new HashSet<>(b.ids()));
-    failures = 0;
-    repeatRecords = 0;
+    b.ids().forEach(this::settle);
+    recover();
   }
 
   /** Keeps the records of a batch that the log did not acknowledge for a repeat after a wait. */
@@ -117,8 +117,7 @@
       return;
     }
     if (kind != LogException.Kind.UNAVAILABLE) {
-      markMayLand(new HashSet<>(b.ids()));
-      repeatRecords = countHeld(new HashSet<>(b.ids()));
+      markMayLand(b);
     }
     failures++;
     notBeforeMs = nowMs + backoffMs();
@@ -126,46 +125,48 @@
 
   /** Settles a record that was read from the stream. */
   public void readBack(RecordId id) {
-    settle(Set.of(id));
+    if (settle(id) && repeatRecords == 0) {
+      recover();
+    }
   }
 
   /** Stops appending a record and says whether it may still land. */
   public AbandonResult abandon(RecordId id) {
-    Iterator<Pending> each = waiting.iterator();
-    while (each.hasNext()) {
-      Pending pending = each.next();
-      if (!pending.id.equals(id)) {
-        continue;
-      }
-      boolean mayLand = pending.mayLand || isInFlight(id);
-      remove(each, pending);
-      return mayLand ? AbandonResult.MAY_LAND : AbandonResult.NEVER_APPENDED;
+    Pending pending = waiting.get(id);
+    if (pending == null) {
+      return AbandonResult.NOT_HELD;
     }
-    return AbandonResult.NOT_HELD;
+    boolean mayLand = pending.mayLand || isInFlight(id);
+    remove(id);
+    return mayLand ? AbandonResult.MAY_LAND : AbandonResult.NEVER_APPENDED;
   }
 
   /** Returns the figures at the given time. */
   public CommitCounters counters(long nowMs) {
-    long oldestMs = waiting.isEmpty() ? 0 : Math.max(0, nowMs - waiting.getFirst().addedAtMs);
+    long oldestMs = 0;
+    if (!waiting.isEmpty()) {
+      oldestMs = Math.max(0, nowMs - waiting.values().iterator().next().addedAtMs);
+    }
     return new CommitCounters(
         settledRecords, batches, bytes, retries, refused, waiting.size(), pendingBytes, oldestMs);
   }
 
   private Batch collect() {
-    // A repeat of a timed-out batch takes no new records, so that an outage of the answer path
-    // does not grow the batch that is sent again and again.
+    // A repeat of a timed-out batch takes no new records: a batch that the log did carry out and
+    // only could not acknowledge would otherwise grow with each repeat.
     int maxRecords = repeatRecords > 0 ? repeatRecords : limits.maxBatchRecords();
     List<RecordId> ids = new ArrayList<>();
     List<Bytes> payloads = new ArrayList<>();
     long sizeBytes = 0;
-    for (Pending pending : waiting) {
-      sizeBytes += pending.payload.sizeBytes();
+    for (Map.Entry<RecordId, Pending> pending : waiting.entrySet()) {
+      Bytes payload = pending.getValue().payload;
+      sizeBytes += payload.sizeBytes();
       boolean full = ids.size() >= maxRecords || sizeBytes > limits.maxBatchBytes();
       if (full && !ids.isEmpty()) {
         break;
       }
-      ids.add(pending.id);
-      payloads.add(pending.payload);
+      ids.add(pending.getKey());
+      payloads.add(payload);
     }
     return new Batch(stream, batches, ids, payloads);
   }
@@ -178,37 +179,38 @@
     return true;
   }
 
-  private void settle(Set<RecordId> ids) {
-    Iterator<Pending> each = waiting.iterator();
-    while (each.hasNext()) {
-      Pending pending = each.next();
-      if (ids.contains(pending.id)) {
-        remove(each, pending);
-        settledRecords++;
-      }
+  private boolean settle(RecordId id) {
+    if (!waiting.containsKey(id)) {
+      return false;
     }
+    remove(id);
+    settledRecords++;
+    return true;
   }
 
-  private void remove(Iterator<Pending> each, Pending pending) {
-    each.remove();
+  private void remove(RecordId id) {
+    Pending pending = waiting.remove(id);
     pendingBytes -= pending.payload.sizeBytes();
-    if (repeatRecords > 0 && pending.mayLand) {
+    if (pending.mayLand) {
       repeatRecords--;
     }
   }
 
-  private void markMayLand(Set<RecordId> ids) {
-    for (Pending pending : waiting) {
-      pending.mayLand |= ids.contains(pending.id);
+  private void markMayLand(Batch b) {
+    for (RecordId id : b.ids()) {
+      Pending pending = waiting.get(id);
+      if (pending != null && !pending.mayLand) {
+        pending.mayLand = true;
+        repeatRecords++;
+      }
     }
   }
 
-  private int countHeld(Set<RecordId> ids) {
-    int held = 0;
-    for (Pending pending : waiting) {
-      held += ids.contains(pending.id) ? 1 : 0;
+  private void recover() {
+    if (failures > 0) {
+      failures = 0;
+      notBeforeMs = intervalEndsAtMs;
     }
-    return held;
   }
 
   private boolean isInFlight(RecordId id) {
@@ -216,7 +218,7 @@
   }
 
   private long backoffMs() {
-    int doublings = Math.min(failures - 1, Long.SIZE - 2 - 32);
+    int doublings = Math.min(failures - 1, MAX_DOUBLINGS);
     long backoffMs = Math.min(limits.maxBackoffMs(), limits.minBackoffMs() << doublings);
     return backoffMs / 2 + jitter.nextLong(backoffMs / 2 + 1);
   }
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/PartitionReader.java
@@ -0,0 +1,191 @@
+package io.magnoliaroute.core.program;
+
+import io.magnoliaroute.core.log.FollowedRecord;
+import io.magnoliaroute.core.log.LogException;
+import io.magnoliaroute.core.log.LogFollower;
+import io.magnoliaroute.core.log.LogPage;
+import io.magnoliaroute.core.log.LogRecord;
+import io.magnoliaroute.core.log.MalformedRecordException;
+import io.magnoliaroute.core.log.ReadRequest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Follows the stream of one partition and keeps its state.
+ *
+ * <p>A reader that lost records to retention passes over records until it has read every part of a
+ * snapshot, takes that one and goes on at the offset after the last one that it covers. Only then
+ * is the state complete again. Not safe for use by several threads.
+ */
+public final class PartitionReader {
+
+  /**
+   * What one answer of the log changed.
+   *
+   * @param applied the records with their verdicts
+   * @param restored whether the state was taken from a snapshot, so that verdicts may be missing
+   */
+  public record ReadResult(List<AppliedRecord> applied, boolean restored) {
+
+    /** Copies the records. */
+    public ReadResult {
+      applied = List.copyOf(applied);
+    }
+  }
+
+  private final LogFollower follower;
+  private final PartitionState state = new PartitionState();
+  private final SnapshotParts parts = new SnapshotParts();
+  private long firstRetainedOffset;
+  private OptionalLong provenAtMs = OptionalLong.empty();
+  private OptionalLong snapshotWrittenAtMs = OptionalLong.empty();
+  private long malformed;
+  private long unknownKinds;
+
+  /** Starts at the beginning of the stream. */
+  public PartitionReader(String stream, int pageRecords) {
+    this.follower = new LogFollower(stream, 0, pageRecords);
+  }
+
+  /** Returns the read to carry out next. */
+  public ReadRequest nextRead() {
+    return follower.nextRead();
+  }
+
+  /**
+   * Takes the answer to a read.
+   *
+   * @param issuedAtMs the monotonic time from before the read was issued
+   */
+  public ReadResult accept(ReadRequest request, LogPage page, long issuedAtMs) {
+    firstRetainedOffset = Math.max(firstRetainedOffset, page.firstRetainedOffset());
+    boolean scanning = follower.snapshotNeeded();
+    List<FollowedRecord> records = follower.accept(request, page);
+    if (follower.snapshotNeeded()) {
+      if (!scanning) {
+        startScan();
+      }
+      return new ReadResult(List.of(), scan(records));
+    }
+    List<AppliedRecord> applied = applyAll(records);
+    boolean end = page.entries().isEmpty() && request.fromOffset() <= follower.nextOffset();
+    if (end && issuedAtMs > provenAtMs.orElse(Long.MIN_VALUE)) {
+      provenAtMs = OptionalLong.of(issuedAtMs);
+    }
+    return new ReadResult(applied, false);
+  }
+
+  /** Takes the failure of a read. */
+  public void failed(LogException.Kind kind) {
+    follower.failed(kind);
+  }
+
+  /** Returns the state; it is complete only while {@link #complete} holds. */
+  public PartitionState state() {
+    return state;
+  }
+
+  /** Returns whether every record up to the last one read is part of the state. */
+  public boolean complete() {
+    return !follower.snapshotNeeded();
+  }
+
+  /**
+   * Returns the time from before the newest read that reached the end of the stream: at that time,
+   * the log held no record that is not part of the state.
+   */
+  public OptionalLong provenAtMs() {
+    return complete() ? provenAtMs : OptionalLong.empty();
+  }
+
+  /** Returns the wall-clock time at which the newest complete snapshot was written. */
+  public OptionalLong snapshotWrittenAtMs() {
+    return snapshotWrittenAtMs;
+  }
+
+  /** Returns the number of records that could not be decoded. */
+  public long malformed() {
+    return malformed;
+  }
+
+  /** Returns the number of records of a kind that this release does not know. */
+  public long unknownKinds() {
+    return unknownKinds;
+  }
+
+  private List<AppliedRecord> applyAll(List<FollowedRecord> records) {
+    List<AppliedRecord> applied = new ArrayList<>(records.size());
+    for (FollowedRecord followed : records) {
+      Optional<ProgramRecord> record = decode(followed);
+      if (record.isEmpty()) {
+        state.skip(followed.offset());
+        continue;
+      }
+      applied.add(apply(followed.offset(), record.get()));
+    }
+    return applied;
+  }
+
+  private AppliedRecord apply(long offset, ProgramRecord record) {
+    if (record instanceof ProgramRecord.Snapshot part) {
+      parts.add(part).ifPresent(this::noteWritten);
+    }
+    return new AppliedRecord(offset, record, state.apply(offset, record));
+  }
+
+  private void startScan() {
+    provenAtMs = OptionalLong.empty();
+    parts.clear();
+  }
+
+  private boolean scan(List<FollowedRecord> records) {
+    for (FollowedRecord followed : records) {
+      Optional<ProgramRecord> record = decode(followed);
+      if (record.isEmpty() || !(record.get() instanceof ProgramRecord.Snapshot part)) {
+        continue;
+      }
+      Optional<SnapshotParts.Complete> complete = parts.add(part);
+      if (complete.isPresent() && take(complete.get())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean take(SnapshotParts.Complete snapshot) {
+    noteWritten(snapshot);
+    boolean followedByRetained = snapshot.asOfOffset() + 1 >= firstRetainedOffset;
+    if (!followedByRetained || !snapshot.consistent()) {
+      return false;
+    }
+    if (!state.restore(snapshot.asOfOffset(), snapshot.entries())) {
+      return false;
+    }
+    follower.resumeAt(snapshot.asOfOffset() + 1);
+    parts.clear();
+    return true;
+  }
+
+  private void noteWritten(SnapshotParts.Complete snapshot) {
+    long writtenAtMs = Math.max(snapshot.writtenAtMs(), snapshotWrittenAtMs.orElse(0));
+    snapshotWrittenAtMs = OptionalLong.of(writtenAtMs);
+  }
+
+  private Optional<ProgramRecord> decode(FollowedRecord followed) {
+    if (followed.record().isEmpty()) {
+      malformed++;
+      return Optional.empty();
+    }
+    LogRecord record = followed.record().get();
+    try {
+      Optional<ProgramRecord> decoded = ProgramRecordCodec.fromLogRecord(record);
+      unknownKinds += decoded.isEmpty() ? 1 : 0;
+      return decoded;
+    } catch (MalformedRecordException e) {
+      malformed++;
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/SnapshotParts.java
@@ -0,0 +1,93 @@
+package io.magnoliaroute.core.program;
+
+import io.magnoliaroute.core.log.WriterId;
+import io.magnoliaroute.core.model.ProgramId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Joins the parts of the newest snapshot that is being read.
+ *
+ * <p>Parts of one snapshot have the same writer and the same covered offset. Parts of an older
+ * snapshot are dropped, so that at most one snapshot is held.
+ */
+final class SnapshotParts {
+
+  /** A snapshot of which every part was read. */
+  record Complete(long asOfOffset, long writtenAtMs, List<SnapshotEntry> entries) {
+
+    /** Returns whether each turn and action follows its program and no turn is missing. */
+    boolean consistent() {
+      Map<ProgramId, Integer> missingTurns = new HashMap<>();
+      for (SnapshotEntry entry : entries) {
+        if (entry instanceof SnapshotEntry.ProgramEntry program) {
+          missingTurns.put(program.start().program(), program.turns());
+        } else if (entry instanceof SnapshotEntry.TurnEntry turn) {
+          missingTurns.computeIfPresent(turn.program(), (id, missing) -> missing - 1);
+        }
+      }
+      return missingTurns.values().stream().allMatch(missing -> missing == 0)
+          && entries.stream().allMatch(entry -> hasProgram(entry, missingTurns.keySet()));
+    }
+
+    private static boolean hasProgram(SnapshotEntry entry, Set<ProgramId> programs) {
+      if (entry instanceof SnapshotEntry.TurnEntry turn) {
+        return programs.contains(turn.program());
+      }
+      if (entry instanceof SnapshotEntry.ActionEntry action) {
+        return programs.contains(action.intent().program());
+      }
+      return true;
+    }
+  }
+
+  private WriterId writer;
+  private long asOfOffset = -1;
+  private List<List<SnapshotEntry>> parts = List.of();
+  private int missing;
+
+  /** Takes a part and returns the snapshot when this part completes it. */
+  Optional<Complete> add(ProgramRecord.Snapshot part) {
+    if (part.asOfOffset() < asOfOffset) {
+      return Optional.empty();
+    }
+    boolean other =
+        part.asOfOffset() > asOfOffset
+            || !part.id().writer().equals(writer)
+            || part.parts() != parts.size();
+    if (other) {
+      start(part);
+    }
+    if (missing == 0 || parts.get(part.part()) != null) {
+      return Optional.empty();
+    }
+    parts.set(part.part(), part.entries());
+    missing--;
+    if (missing > 0) {
+      return Optional.empty();
+    }
+    List<SnapshotEntry> entries = parts.stream().flatMap(List::stream).toList();
+    clear();
+    return Optional.of(new Complete(part.asOfOffset(), part.writtenAtMs(), entries));
+  }
+
+  void clear() {
+    writer = null;
+    parts = List.of();
+    missing = 0;
+  }
+
+  private void start(ProgramRecord.Snapshot part) {
+    writer = part.id().writer();
+    asOfOffset = part.asOfOffset();
+    missing = part.parts();
+    parts = new ArrayList<>();
+    for (int i = 0; i < part.parts(); i++) {
+      parts.add(null);
+    }
+  }
+}
