Add seeded failure sequences for partitions and actions

The sequences run three VMs and two callers in one thread under virtual time against a log with late appends, lost answers, outages and retention and a service that loses answers after the effect. The checker reads what callers were told, what the service ran and the histories of new readers.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/action/ActionFlow.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/action/ActionFlow.java
@@ -11,7 +11,6 @@
 import io.magnoliaroute.core.program.PartitionOwner;
 import io.magnoliaroute.core.program.PartitionReader;
 import io.magnoliaroute.core.program.ProgramRecord;
-import io.magnoliaroute.core.program.ProgramView;
 import io.magnoliaroute.core.program.Refusal;
 import io.magnoliaroute.core.program.Verdict;
 import java.util.List;
@@ -45,6 +44,8 @@
     RECORDING,
     /** The intent of another request holds the key. */
     WAITING_OTHER,
+    /** The request is refused, and the log must be read to show that the key has not run. */
+    VERIFYING,
     CLOSED
   }
 
@@ -61,6 +62,7 @@
   private RecordId intentId;
   private OptionalLong sentToken = OptionalLong.empty();
   private ActionReason abandonReason;
+  private ActionReason refusal;
   private ActionReply known;
 
   /** Makes a flow on the owner of the program's partition; the request is not idempotent. */
@@ -239,9 +241,10 @@
       refuse(ActionReason.NOT_OWNER, false);
       return;
     }
-    Optional<ActionReason> refusal = checkProgram();
-    if (refusal.isPresent()) {
-      refuse(refusal.get(), false);
+    Optional<ActionReason> ended =
+        ActionReasons.ofProgram(reader.state().program(request.program()));
+    if (ended.isPresent()) {
+      refuse(ended.get(), false);
       return;
     }
     long giveUpAtMs = request.deadlineAtMs() - timing.giveUpBeforeMs();
@@ -255,14 +258,6 @@
     out.wakeAt(giveUpAtMs);
   }
 
-  private Optional<ActionReason> checkProgram() {
-    Optional<ProgramView> program = reader.state().program(request.program());
-    if (program.isEmpty()) {
-      return Optional.of(ActionReason.PROGRAM_UNKNOWN);
-    }
-    return program.get().live() ? Optional.empty() : Optional.of(ActionReason.PROGRAM_ENDED);
-  }
-
   private void followOther(ActionView action) {
     boolean same =
         action.service().equals(request.service()) && action.request().equals(request.content());
@@ -282,13 +277,13 @@
       phase = Phase.READY;
       return;
     }
-    Refusal refusal = ((Verdict.Refused) applied.verdict()).reason();
-    if (refusal == Refusal.KEY_USED) {
+    Refusal refused = ((Verdict.Refused) applied.verdict()).reason();
+    if (refused == Refusal.KEY_USED) {
       // The state may be ahead of this record, so that the key can be free again.
       reserveKey(nowMs);
       return;
     }
-    refuse(ActionReasons.of(refusal), true);
+    refuse(ActionReasons.of(refused), true);
   }
 
   private void onIntentRestored() {
@@ -319,6 +314,10 @@
     if (phase == Phase.WAITING_OTHER && action.isEmpty()) {
       reserveKey(nowMs);
     }
+    if (phase == Phase.VERIFYING) {
+      refuse(refusal, false);
+      out.wakeAt(nowMs + timing.retryMs());
+    }
     if (phase != Phase.READY) {
       return;
     }
@@ -358,12 +357,13 @@
     }
     boolean readSinceArrival =
         verdictRead || reader.provenAtMs().orElse(Long.MIN_VALUE) >= arrivedAtMs;
-    if (request.freshKey() || readSinceArrival) {
+    if (request.freshKey() || readSinceArrival || out.replied()) {
       out.reply(ActionReply.of(Outcome.NOT_RUN, reason));
-    } else {
-      out.reply(ActionReply.of(Outcome.UNKNOWN, ActionReason.KEY_NOT_VERIFIED));
+      phase = Phase.CLOSED;
+      return;
     }
-    phase = Phase.CLOSED;
+    phase = Phase.VERIFYING;
+    refusal = reason;
   }
 
   private void onDeadline() {
@@ -373,8 +373,12 @@
     if (known != null) {
       out.reply(known);
     }
-    out.reply(ActionReply.of(Outcome.UNKNOWN, ActionReason.DEADLINE_WHILE_OPEN));
-    phase = phase == Phase.WAITING_OTHER ? Phase.CLOSED : phase;
+    boolean verifying = phase == Phase.VERIFYING;
+    out.reply(
+        ActionReply.of(
+            Outcome.UNKNOWN,
+            verifying ? ActionReason.KEY_NOT_VERIFIED : ActionReason.DEADLINE_WHILE_OPEN));
+    phase = verifying || phase == Phase.WAITING_OTHER ? Phase.CLOSED : phase;
   }
 
   /** Records what became of a request that was sent. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/action/ActionReasons.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/action/ActionReasons.java
@@ -1,8 +1,10 @@
 package io.magnoliaroute.core.action;
 
+import io.magnoliaroute.core.program.ProgramView;
 import io.magnoliaroute.core.program.Refusal;
+import java.util.Optional;
 
-/** Says which reason a caller gets for a refused intent. */
+/** Says which reason a caller gets for a refusal. */
 final class ActionReasons {
 
   private ActionReasons() {}
@@ -14,4 +16,12 @@
       default -> ActionReason.NOT_OWNER;
     };
   }
+
+  /** Returns why a program takes no further actions, or empty when it does. */
+  static Optional<ActionReason> ofProgram(Optional<ProgramView> program) {
+    if (program.isEmpty()) {
+      return Optional.of(ActionReason.PROGRAM_UNKNOWN);
+    }
+    return program.get().live() ? Optional.empty() : Optional.of(ActionReason.PROGRAM_ENDED);
+  }
 }
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SimCaller.java
@@ -0,0 +1,134 @@
+package io.magnoliaroute.core.action;
+
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.Outcome;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.program.Verdict;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A caller with one program: it runs turns and actions, and repeats what it is not sure of. */
+final class SimCaller {
+
+  private static final long DEADLINE_MS = 1_500;
+  private static final int MAX_ATTEMPTS = 5;
+
+  /** What the caller was told of one request for an action. */
+  record Told(String key, int attempt, long arrivedAtMs, long atMs, String vm, ActionReply reply) {}
+
+  /** A turn that was acknowledged as logged. */
+  record LoggedTurn(ProgramId program, int number, String content) {}
+
+  final List<Told> told = new ArrayList<>();
+  final List<LoggedTurn> logged = new ArrayList<>();
+  final List<ProgramId> startedPrograms = new ArrayList<>();
+  private final int number;
+  private final SequenceRun run;
+  private ProgramId program;
+  private int starts;
+  private int nextTurn;
+  private int turnTries;
+  private int actions;
+
+  SimCaller(int number, SequenceRun run) {
+    this.number = number;
+    this.run = run;
+    run.time.in(run.time.between(1, 400), this::start);
+  }
+
+  private void start() {
+    if (program != null) {
+      return;
+    }
+    ProgramId candidate = new ProgramId("p-" + number + "-" + starts++);
+    run.anyVm().start(candidate, "client-" + number, verdict -> onStarted(candidate, verdict));
+    run.time.in(600, this::start);
+  }
+
+  private void onStarted(ProgramId candidate, Verdict verdict) {
+    ProgramId found = null;
+    if (verdict.accepted()) {
+      found = candidate;
+    } else if (verdict instanceof Verdict.StartedBefore before) {
+      found = before.program();
+    }
+    if (found == null) {
+      return;
+    }
+    startedPrograms.add(found);
+    if (program == null) {
+      program = found;
+      run.time.in(10, this::turn);
+      run.time.in(30, this::newAction);
+    }
+  }
+
+  private void turn() {
+    int turn = nextTurn;
+    String content = program + ":" + turn + ":" + turnTries++;
+    run.anyVm()
+        .turn(
+            program,
+            turn,
+            content,
+            reply -> {
+              if (reply.logged()) {
+                logged.add(new LoggedTurn(program, turn, content));
+              }
+              nextTurn = reply.nextTurn();
+            });
+    if (run.chaotic()) {
+      run.time.in(run.time.between(100, 900), this::turn);
+    } else if (run.time.chance(0.5)) {
+      run.anyVm().end(program);
+    }
+  }
+
+  private void newAction() {
+    String key = "key-" + number + "-" + actions++;
+    attempt(key, 0);
+    if (run.chaotic()) {
+      run.time.in(run.time.between(100, 1_500), this::newAction);
+    }
+  }
+
+  private void attempt(String key, int attempt) {
+    request(key, attempt);
+    int used = attempt + 1;
+    if (run.time.chance(0.15)) {
+      request(key, used);
+      used++;
+    }
+    int next = used;
+    if (next < MAX_ATTEMPTS) {
+      run.time.in(run.time.between(200, 4_000), () -> repeat(key, next));
+    }
+  }
+
+  private void repeat(String key, int attempt) {
+    boolean sure =
+        told.stream()
+            .anyMatch(each -> each.key().equals(key) && each.reply().outcome() == Outcome.DONE);
+    if (run.acceptsRequests() && run.time.chance(sure ? 0.3 : 0.8)) {
+      attempt(key, attempt);
+    }
+  }
+
+  private void request(String key, int attempt) {
+    SimVm vm = run.anyVm();
+    long nowMs = run.time.nowMs();
+    ActionRequest request =
+        new ActionRequest(
+            program,
+            key,
+            attempt,
+            "payments",
+            Bytes.ofUtf8("pay " + key),
+            false,
+            attempt == 0,
+            nowMs + DEADLINE_MS);
+    vm.action(
+        request,
+        reply -> told.add(new Told(key, attempt, nowMs, run.time.nowMs(), vm.name, reply)));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/VirtualTime.java
@@ -0,0 +1,58 @@
+package io.magnoliaroute.core.action;
+
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/** Runs events in one thread in order of virtual time; equal times keep their order. */
+final class VirtualTime {
+
+  private record Event(long atMs, long order, Runnable step) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(atMs, other.atMs);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final SplittableRandom random;
+  private long nowMs;
+  private long order;
+
+  VirtualTime(long seed) {
+    this.random = new SplittableRandom(seed);
+  }
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  void in(long delayMs, Runnable step) {
+    events.add(new Event(nowMs + delayMs, order++, step));
+  }
+
+  void runUntil(long endMs) {
+    while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+      Event next = events.poll();
+      nowMs = next.atMs();
+      next.step().run();
+    }
+    nowMs = endMs;
+  }
+
+  boolean chance(double probability) {
+    return random.nextDouble() < probability;
+  }
+
+  long between(long minMs, long maxMs) {
+    return random.nextLong(minMs, maxMs + 1);
+  }
+
+  int index(int size) {
+    return random.nextInt(size);
+  }
+
+  SplittableRandom split() {
+    return random.split();
+  }
+}
