--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigState.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigState.java
@@ -171,11 +171,12 @@
     if (same.isPresent()) {
       return new ConfigVerdict(ConfigVerdict.Kind.DUPLICATE, same.get().version(), List.of());
     }
-    if (published.baseVersion() != current) {
+    boolean known = knownAccepted(branch, offset);
+    if (!known && published.baseVersion() != current) {
       return new ConfigVerdict(ConfigVerdict.Kind.CONFLICT, current, List.of());
     }
     ParseResult<Branch> checked = check(branch, published.content());
-    if (checked.refused()) {
+    if (!known && checked.refused()) {
       return new ConfigVerdict(ConfigVerdict.Kind.INVALID, current, checked.findings());
     }
     BranchEntry entry = new BranchEntry(branch, published.content(), history(offset, published));
@@ -185,6 +186,16 @@
     return new ConfigVerdict(ConfigVerdict.Kind.ACCEPTED, offset, checked.findings());
   }
 
+  /**
+   * Returns whether a reader with the whole past accepted the record at the offset: a branch that a
+   * peer sent, or that this VM held before it read the log anew, has the version in its history.
+   */
+  private boolean knownAccepted(BranchName branch, long offset) {
+    return forced.get(branch).stream()
+        .flatMap(entry -> entry.history().stream())
+        .anyMatch(version -> version.version() == offset);
+  }
+
   private Optional<BranchVersion> sameRecord(ConfigRecord.Published published) {
     return logged
         .get(published.branch())
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/TeamReader.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/TeamReader.java
@@ -38,7 +38,7 @@
 
   TeamSettings read(Section section) {
     List<String> hashes = section.values("token_hashes", this::ownTokenHash);
-    if (hashes.isEmpty()) {
+    if (!section.has("token_hashes")) {
       section.warning("token_hashes", "has no token, so nobody can use the team");
     }
     int share = section.intOr("share", DEFAULT_SHARE, 1, MAX_SHARE);
@@ -119,7 +119,7 @@
           Optional<PoolId> service = rule.requireValue("service", PoolId::new);
           service.ifPresent(pool -> checkService(rule, pool, seen));
           List<String> operations = rule.values("operations", Values::operation);
-          if (operations.isEmpty()) {
+          if (!rule.has("operations")) {
             rule.warning("operations", "allows no operation");
           }
           return new ToolRule(service.orElse(new PoolId("none")), Set.copyOf(operations));
