--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetCarryForward.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetCarryForward.java
@@ -27,7 +27,11 @@
     this.writer = writer;
   }
 
-  /** Returns the snapshots to append now; accounts of periods that ended are left to expire. */
+  /**
+   * Returns the snapshots to append now; accounts of periods that ended are left to expire.
+   *
+   * <p>Call this only after a read that reached the end of the stream.
+   */
   public List<BudgetRecord> poll(BudgetLedger ledger, Collection<VmId> live, long nowMs) {
     if (!ledger.caughtUp()) {
       return List.of();
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigCarryForward.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigCarryForward.java
@@ -15,7 +15,7 @@
   private static final int SNAPSHOT_BYTES = 256 * 1024;
 
   /** The retention divided by this is the wait for an own snapshot to be read back. */
-  private static final int REPEAT_DIVISOR = 64;
+  private static final int REPEAT_DIVISOR = 16;
 
   private final CarryForwardSchedule schedule;
   private final String writer;
@@ -33,7 +33,12 @@
     this.writer = writer;
   }
 
-  /** Returns the snapshots to append now. */
+  /**
+   * Returns the snapshots to append now.
+   *
+   * <p>Call this only after a read that reached the end of the stream: a snapshot by a reader that
+   * lags would count as carried without including the latest records.
+   */
   public List<ConfigRecord> poll(ConfigState state, Collection<VmId> live, long nowMs) {
     if (!state.caughtUp()) {
       return List.of();
@@ -49,13 +54,13 @@
       entries.add(each.entry());
       sizeBytes += each.entry().sizeBytes();
       if (sizeBytes >= SNAPSHOT_BYTES) {
-        records.add(snapshot(entries, nowMs));
+        records.add(snapshot(state, entries, nowMs));
         entries.clear();
         sizeBytes = 0;
       }
     }
     if (!entries.isEmpty()) {
-      records.add(snapshot(entries, nowMs));
+      records.add(snapshot(state, entries, nowMs));
     }
     return records;
   }
@@ -68,8 +73,8 @@
     return schedule.due(each.entry().branch().value(), each.carriedMs(), live, nowMs);
   }
 
-  private ConfigRecord snapshot(List<BranchEntry> entries, long nowMs) {
+  private ConfigRecord snapshot(ConfigState state, List<BranchEntry> entries, long nowMs) {
     return new ConfigRecord.Snapshot(
-        writer + "/config-snapshot/" + nextRecord++, nowMs, List.copyOf(entries));
+        writer + "/config-snapshot/" + nextRecord++, nowMs, state.lastOffset(), entries);
   }
 }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigCodec.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigCodec.java
@@ -33,6 +33,7 @@
             out.packString(published.author()).packLong(published.timeMs());
           } else if (configRecord instanceof ConfigRecord.Snapshot snapshot) {
             out.packInt(SNAPSHOT).packString(snapshot.recordId()).packLong(snapshot.timeMs());
+            out.packLong(snapshot.asOfOffset());
             packEntries(out, snapshot.entries());
           }
         });
@@ -55,7 +56,8 @@
                     in.unpackString(),
                     in.unpackLong());
             case SNAPSHOT ->
-                new ConfigRecord.Snapshot(recordId, in.unpackLong(), unpackEntries(in));
+                new ConfigRecord.Snapshot(
+                    recordId, in.unpackLong(), in.unpackLong(), unpackEntries(in));
             default -> throw new IllegalArgumentException("unknown config record type " + type);
           };
         });
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigRecord.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigRecord.java
@@ -35,9 +35,11 @@
    *
    * @param recordId the identity of the record
    * @param timeMs when it was made
+   * @param asOfOffset the offset of the last record of the stream that the entries include
    * @param entries the branches with the offsets at which they took effect
    */
-  record Snapshot(String recordId, long timeMs, List<BranchEntry> entries) implements ConfigRecord {
+  record Snapshot(String recordId, long timeMs, long asOfOffset, List<BranchEntry> entries)
+      implements ConfigRecord {
 
     /** Copies the entries. */
     public Snapshot {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigState.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/config/ConfigState.java
@@ -36,6 +36,7 @@
   private final Map<BranchName, Long> carriedMs = new HashMap<>();
   private final List<Deferred> deferred = new ArrayList<>();
   private final Map<BranchName, BranchEntry> baseline = new HashMap<>();
+  private final PastDecisions past = new PastDecisions();
   private LoggedTree logged = new LoggedTree();
   private long firstOffset;
   private long lastOffset = -1;
@@ -53,6 +54,7 @@
     logged = new LoggedTree();
     deferred.clear();
     baseline.clear();
+    past.clear();
     firstOffset = firstRetainedOffset;
     lastOffset = firstRetainedOffset - 1;
     atTip = firstRetainedOffset <= 0;
@@ -67,6 +69,7 @@
     Set<BranchName> changed = new TreeSet<>();
     for (BranchEntry known : forced.all()) {
       addToBaseline(known);
+      past.learn(known, known.version());
     }
     for (BranchEntry entry : baseline.values()) {
       install(entry, changed);
@@ -76,6 +79,7 @@
     }
     deferred.clear();
     baseline.clear();
+    past.clear();
     raiseCompleteness();
     return changed;
   }
@@ -103,7 +107,14 @@
   private void defer(long offset, ConfigRecord configRecord) {
     deferred.add(new Deferred(offset, configRecord));
     if (configRecord instanceof ConfigRecord.Snapshot snapshot) {
-      snapshot.entries().forEach(this::addToBaseline);
+      // Records between the snapshot and the first offset would be missing from the baseline.
+      boolean reachesFirst = snapshot.asOfOffset() >= firstOffset - 1;
+      for (BranchEntry entry : snapshot.entries()) {
+        if (reachesFirst) {
+          addToBaseline(entry);
+        }
+        past.learn(entry, snapshot.asOfOffset());
+      }
     }
   }
 
@@ -124,19 +135,13 @@
     for (BranchEntry entry : snapshot.entries()) {
       if (entry.version() < offset) {
         newer |= install(entry, changed);
-        noteCarried(entry, snapshot.timeMs());
+        carriedMs.merge(entry.branch(), snapshot.timeMs(), Math::max);
       }
     }
     ConfigVerdict.Kind kind = newer ? ConfigVerdict.Kind.ACCEPTED : ConfigVerdict.Kind.NOT_NEEDED;
     return new ConfigVerdict(kind, logged.highestVersion(), List.of());
   }
 
-  private void noteCarried(BranchEntry entry, long timeMs) {
-    if (entry.version() == logged.version(entry.branch())) {
-      carriedMs.merge(entry.branch(), timeMs, Math::max);
-    }
-  }
-
   /** Takes an entry where its offset is higher than the one held. */
   private boolean install(BranchEntry entry, Set<BranchName> changed) {
     if (entry.version() <= logged.version(entry.branch())) {
@@ -144,7 +149,6 @@
     }
     Optional<Branch> content = parse(entry);
     logged.put(entry, content);
-    carriedMs.put(entry.branch(), entry.history().get(0).timeMs());
     raise(entry, content, changed);
     return true;
   }
@@ -171,29 +175,55 @@
     if (same.isPresent()) {
       return new ConfigVerdict(ConfigVerdict.Kind.DUPLICATE, same.get().version(), List.of());
     }
-    boolean known = knownAccepted(branch, offset);
-    if (!known && published.baseVersion() != current) {
+    Optional<Boolean> decided = decidedBefore(branch, offset);
+    if (decided.isPresent()) {
+      return decided.get()
+          ? accept(offset, published, unchecked(published), changed)
+          : new ConfigVerdict(ConfigVerdict.Kind.CONFLICT, current, List.of());
+    }
+    if (published.baseVersion() != current) {
       return new ConfigVerdict(ConfigVerdict.Kind.CONFLICT, current, List.of());
     }
     ParseResult<Branch> checked = check(branch, published.content());
-    if (!known && checked.refused()) {
+    if (checked.refused()) {
       return new ConfigVerdict(ConfigVerdict.Kind.INVALID, current, checked.findings());
     }
+    return accept(offset, published, checked, changed);
+  }
+
+  private ConfigVerdict accept(
+      long offset,
+      ConfigRecord.Published published,
+      ParseResult<Branch> checked,
+      Set<BranchName> changed) {
+    BranchName branch = published.branch();
     BranchEntry entry = new BranchEntry(branch, published.content(), history(offset, published));
     logged.put(entry, checked.value());
-    carriedMs.put(branch, published.timeMs());
+    // A change does not count as carried: without its base a later reader cannot decide on it.
+    carriedMs.putIfAbsent(branch, published.timeMs());
     raise(entry, checked.value(), changed);
     return new ConfigVerdict(ConfigVerdict.Kind.ACCEPTED, offset, checked.findings());
   }
 
+  /** Parses content that was accepted before; this reader may lack the branches it refers to. */
+  private static ParseResult<Branch> unchecked(ConfigRecord.Published published) {
+    BranchName branch = published.branch();
+    return published
+        .content()
+        .map(yaml -> SettingsParser.parseBranch(branch.value(), branch, yaml))
+        .orElse(new ParseResult<>(Optional.empty(), List.of()));
+  }
+
   /**
-   * Returns whether a reader with the whole past accepted the record at the offset: a branch that a
-   * peer sent, or that this VM held before it read the log anew, has the version in its history.
+   * Returns what readers with the whole past decided, if it is known: from the snapshots read, or
+   * from the history of a branch that a peer sent or that this VM held before it read the log anew.
    */
-  private boolean knownAccepted(BranchName branch, long offset) {
-    return forced.get(branch).stream()
-        .flatMap(entry -> entry.history().stream())
-        .anyMatch(version -> version.version() == offset);
+  private Optional<Boolean> decidedBefore(BranchName branch, long offset) {
+    boolean inHistory =
+        forced.get(branch).stream()
+            .flatMap(entry -> entry.history().stream())
+            .anyMatch(version -> version.version() == offset);
+    return inHistory ? Optional.of(true) : past.accepted(branch, offset);
   }
 
   private Optional<BranchVersion> sameRecord(ConfigRecord.Published published) {
@@ -301,7 +331,12 @@
     return forced.version(BranchName.of(team.id()));
   }
 
-  /** Returns the branches by log order with the time that each was last carried in a record. */
+  /** Returns the offset of the last record that the branches by log order include. */
+  long lastOffset() {
+    return lastOffset;
+  }
+
+  /** Returns the branches by log order with the time of the last snapshot of each. */
   List<CarriedBranch> carried() {
     List<CarriedBranch> carried = new ArrayList<>();
     for (LoggedTree.Held held : logged.all()) {
@@ -311,6 +346,6 @@
     return carried;
   }
 
-  /** A branch with the time of the last record that holds it. */
+  /** A branch with the time of its last snapshot, or of its first version if there is none. */
   record CarriedBranch(BranchEntry entry, long carriedMs) {}
 }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/config/ConfigStateTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/config/ConfigStateTest.java
@@ -123,7 +123,7 @@
       for (int offset = 0; offset < records; offset++) {
         then.apply(offset, log.get(offset));
       }
-      return new ConfigRecord.Snapshot("s" + records, 2_000, then.branches());
+      return new ConfigRecord.Snapshot("s" + records, 2_000, records - 1, then.branches());
     }
 
     /** Guards against a snapshot that lands late and takes a branch back to its old content. */
@@ -287,7 +287,7 @@
       ConfigRecord deleted = publish("a/2", ALPHA, 0, null);
       state.apply(0, published);
       state.apply(1, deleted);
-      ConfigRecord snapshot = new ConfigRecord.Snapshot("s", 5, state.branches());
+      ConfigRecord snapshot = new ConfigRecord.Snapshot("s", 5, 1, state.branches());
       for (ConfigRecord each : List.of(published, deleted, snapshot)) {
         assertEquals(each, ConfigCodec.decode(ConfigCodec.encode(each)));
       }
