Test the group scheduler and correct two faults it had

Cause: no test covered the decisions. The new tests found that an idle group with one unreserved slot refused a deadline of 20 s, because the service of the new program counted as a wait before it. Reading for the tests showed that preemption could cancel a call that may not run twice.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/AdmissionControl.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/AdmissionControl.java
@@ -55,11 +55,12 @@
         RefusalReason.DEADLINE_UNREACHABLE, retryAfterMs(call, waitMs - allowedMs));
   }
 
-  /** Returns the time in which the accepted work that is served before the call is done. */
+  /**
+   * Returns the time in which the accepted work that is served before the call is done. The service
+   * of the program itself is part of its usual time.
+   */
   private double predictedWaitMs(WaitingCall call, PriorityClass served, long nowMs) {
-    double ownUnits = ledger.sizes(served).remainingUnits(0);
-    double classUnits = ledger.backlogUnits(served) + ownUnits;
-    double aheadUnits = Math.min(classUnits, teamUnits(call, served, ownUnits));
+    double aheadUnits = Math.min(ledger.backlogUnits(served), teamUnits(call, served));
     for (PriorityClass before : PriorityClass.values()) {
       if (before.precedes(served)) {
         aheadUnits += ledger.backlogUnits(before);
@@ -69,8 +70,8 @@
   }
 
   /** Returns what the group serves until the team's fair part of it covers the team's backlog. */
-  private double teamUnits(WaitingCall call, PriorityClass served, double ownUnits) {
-    double units = ledger.teamBacklogUnits(served, call.team()) + ownUnits;
+  private double teamUnits(WaitingCall call, PriorityClass served) {
+    double units = ledger.teamBacklogUnits(served, call.team());
     double shares = ledger.otherShares(served, call.team()) + call.teamShare();
     return units * shares / call.teamShare();
   }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/PreemptionPlanner.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/PreemptionPlanner.java
@@ -70,6 +70,7 @@
 
   private boolean mayBeCancelled(RunningCall candidate) {
     return candidate.queued.served == PriorityClass.BULK
+        && candidate.queued.call.idempotent()
         && !candidate.preemptionOrdered
         && !board.isSlow(candidate.grant.endpoint());
   }
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/schedule/RoutingTest.java
@@ -0,0 +1,239 @@
+package io.magnoliaroute.core.schedule;
+
+import static io.magnoliaroute.core.schedule.SchedulerFixture.REMOTE;
+import static io.magnoliaroute.core.schedule.SchedulerFixture.cachedAt;
+import static io.magnoliaroute.core.schedule.SchedulerFixture.call;
+import static io.magnoliaroute.core.schedule.SchedulerFixture.ended;
+import static io.magnoliaroute.core.schedule.SchedulerFixture.endpoint;
+import static io.magnoliaroute.core.schedule.SchedulerFixture.id;
+import static io.magnoliaroute.core.schedule.SchedulerFixture.scheduler;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.PriorityClass;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class RoutingTest {
+
+  private static final EndpointId E0 = new EndpointId("e0");
+  private static final long USUAL_PACE_MS = 20;
+
+  private static List<String> endpoints(List<SlotGrant> grants) {
+    return grants.stream().map(g -> g.endpoint().value()).toList();
+  }
+
+  private static List<String> place(GroupScheduler scheduler, WaitingCall call, long nowMs) {
+    scheduler.offer(call, nowMs);
+    return endpoints(scheduler.dispatch(nowMs));
+  }
+
+  @Nested
+  final class PrefixAffinity {
+
+    private final GroupScheduler scheduler = scheduler(endpoint("e0", 2, 0), endpoint("e1", 2, 0));
+
+    /** Guards against a long history that is computed again on an idle endpoint. */
+    @Test
+    void callGoesWhereItsHistoryIsCached() {
+      assertEquals(List.of("e1"), place(scheduler, cachedAt("a", "e1", 8_000), 0));
+    }
+
+    /** Guards against recomputing a long history to save the short wait for a slot. */
+    @Test
+    void longHistoryWaitsForItsFullEndpoint() {
+      place(scheduler, cachedAt("a", "e1", 8_000), 0);
+      place(scheduler, cachedAt("b", "e1", 8_000), 0);
+      assertEquals(List.of(), place(scheduler, cachedAt("c", "e1", 100_000), 0));
+    }
+
+    /** Guards against waiting at a full endpoint when recomputing is cheaper. */
+    @Test
+    void shortHistoryIsComputedElsewhere() {
+      place(scheduler, cachedAt("a", "e1", 8_000), 0);
+      place(scheduler, cachedAt("b", "e1", 8_000), 0);
+      assertEquals(List.of("e0"), place(scheduler, cachedAt("c", "e1", 200), 0));
+    }
+
+    /** Guards against an urgent call that waits for its cache while a slot is free. */
+    @Test
+    void urgentCallNeverWaitsForACache() {
+      place(scheduler, cachedAt("a", "e1", 8_000), 0);
+      place(scheduler, cachedAt("b", "e1", 8_000), 0);
+      WaitingCall urgent =
+          call("u")
+              .priority(PriorityClass.URGENT)
+              .prompt(100_000, Map.of(new EndpointId("e1"), 100_000))
+              .build();
+      assertEquals(List.of("e0"), place(scheduler, urgent, 0));
+    }
+  }
+
+  @Nested
+  final class Placement {
+
+    /** Guards against traffic between data centres while local slots are free. */
+    @Test
+    void otherDataCentreIsUsedWhenTheLocalOneIsFull() {
+      GroupScheduler scheduler = scheduler(endpoint("far", REMOTE, 2, 0), endpoint("near", 1, 0));
+      assertEquals(List.of("near"), place(scheduler, call("a").build(), 0));
+      assertEquals(List.of("far"), place(scheduler, call("b").build(), 0));
+    }
+
+    /** Guards against a model load while an endpoint that has the model is free. */
+    @Test
+    void endpointWithTheModelIsPreferred() {
+      EndpointSpec without =
+          new EndpointSpec(E0, SchedulerFixture.LOCAL, 4, 0, Set.of("other"), false);
+      GroupScheduler scheduler = scheduler(without, endpoint("e1", REMOTE, 1, 0));
+      assertEquals(List.of("e1"), place(scheduler, call("a").build(), 0));
+      scheduler.offer(call("b").build(), 0);
+      assertTrue(scheduler.dispatch(0).get(0).modelLoadNeeded());
+    }
+  }
+
+  @Nested
+  final class SlowEndpoints {
+
+    private final GroupScheduler scheduler =
+        scheduler(endpoint("e0", 8, 0), endpoint("e1", 8, 0), endpoint("e2", 8, 0));
+
+    private List<SlotGrant> start(int calls) {
+      for (int i = 0; i < calls; i++) {
+        scheduler.offer(call("p" + i).build(), 0);
+      }
+      return scheduler.dispatch(0);
+    }
+
+    /** Streams at the usual pace, at endpoint e0 at the given multiple of it. */
+    private void stream(List<SlotGrant> grants, long fromMs, long toMs, int slowFactor) {
+      for (long now = fromMs; now <= toMs; now += 200) {
+        for (SlotGrant grant : grants) {
+          long pace = grant.endpoint().equals(E0) ? USUAL_PACE_MS * slowFactor : USUAL_PACE_MS;
+          scheduler.observe(
+              grant.call(),
+              new CallObservation(grant.grantId(), 50, (int) (now / pace) + 1, now),
+              now);
+        }
+      }
+    }
+
+    /** Guards against new work for an endpoint that has become three times slower. */
+    @Test
+    void newWorkIsShiftedWithinOneSecond() {
+      stream(start(9), 0, 1_000, 3);
+      assertTrue(scheduler.isShiftedAway(E0));
+      scheduler.offer(call("new").build(), 1_000);
+      assertFalse(endpoints(scheduler.dispatch(1_000)).contains("e0"));
+    }
+
+    /** Guards against an endpoint that stays without work after it has recovered. */
+    @Test
+    void idleSlowEndpointIsProbedAndReturns() {
+      List<SlotGrant> grants = start(9);
+      stream(grants, 0, 1_000, 3);
+      for (SlotGrant grant : grants) {
+        scheduler.release(grant.call(), ended(grant, CallEnding.CANCELLED), 1_000);
+      }
+      scheduler.offer(call("probe").times(3_000, 600_000).build(), 3_000);
+      SlotGrant probe = scheduler.dispatch(3_000).get(0);
+      assertEquals(E0, probe.endpoint());
+      for (int i = 1; i <= 8; i++) {
+        scheduler.observe(
+            id("probe"),
+            new CallObservation(probe.grantId(), 50, i * 10, i * 200L),
+            3_000 + i * 200L);
+      }
+      assertFalse(scheduler.isShiftedAway(E0));
+    }
+
+    /** Guards against a group without any endpoint when all are slow. */
+    @Test
+    void halfOfTheGroupStaysInUseWhenAllFail() {
+      for (int i = 0; i < 40; i++) {
+        scheduler.offer(call("f" + i).build(), i * 200L);
+        for (SlotGrant grant : scheduler.dispatch(i * 200L)) {
+          scheduler.release(grant.call(), ended(grant, CallEnding.FAILED), i * 200L);
+        }
+      }
+      long shifted =
+          List.of("e0", "e1", "e2").stream()
+              .filter(e -> scheduler.isShiftedAway(new EndpointId(e)))
+              .count();
+      assertEquals(1, shifted);
+    }
+
+    /** Guards against an endpoint that fails at once and so always has the most free slots. */
+    @Test
+    void endpointThatFailsEveryCallGetsProbesOnly() {
+      int atFailing = 0;
+      for (int i = 0; i < 50; i++) {
+        long now = i * 200L;
+        scheduler.offer(call("f" + i).build(), now);
+        for (SlotGrant grant : scheduler.dispatch(now)) {
+          boolean fails = grant.endpoint().equals(E0);
+          atFailing += fails ? 1 : 0;
+          scheduler.release(
+              grant.call(), ended(grant, fails ? CallEnding.FAILED : CallEnding.COMPLETED), now);
+        }
+      }
+      assertTrue(atFailing <= 12, "calls at the failing endpoint: " + atFailing);
+    }
+
+    /** Guards against a call that runs twice although it may not, or without a budget for it. */
+    @Test
+    void onlyPermittedIdempotentCallsAreHedged() {
+      scheduler.offer(call("once").idempotent(false).build(), 0);
+      List<SlotGrant> grants = new ArrayList<>(scheduler.dispatch(0));
+      grants.addAll(start(8));
+      stream(grants, 0, 1_000, 3);
+      assertEquals(List.of(), scheduler.hedge((team, now) -> false, 1_000));
+      List<SlotGrant> hedges = scheduler.hedge((team, now) -> true, 1_000);
+      assertTrue(hedges.size() > 0);
+      assertTrue(hedges.stream().noneMatch(g -> g.call().equals(id("once"))));
+      assertEquals(List.of(), scheduler.hedge((team, now) -> true, 1_000));
+    }
+  }
+
+  @Nested
+  final class Preemptions {
+
+    private final GroupScheduler scheduler = scheduler(endpoint("e0", 2, 0));
+
+    /** Guards against an urgent call that waits for the end of long bulk streams. */
+    @Test
+    void bulkStreamIsCancelledOnceForAWaitingUrgentCall() {
+      scheduler.offer(call("b1", PriorityClass.BULK), 0);
+      scheduler.offer(call("b2", PriorityClass.BULK), 0);
+      scheduler.dispatch(0);
+      scheduler.offer(call("u", PriorityClass.URGENT), 10);
+      scheduler.dispatch(10);
+      List<Preemption> ordered = scheduler.preempt(10);
+      assertEquals(1, ordered.size());
+      assertEquals(List.of(), scheduler.preempt(11));
+      Preemption order = ordered.get(0);
+      scheduler.release(
+          order.victim(),
+          CallResult.withoutTokens(order.victimGrantId(), CallEnding.PREEMPTED),
+          20);
+      assertEquals(id("u"), scheduler.dispatch(20).get(0).call());
+    }
+
+    /** Guards against a cancelled action that may not run twice, and against cancelled callers. */
+    @Test
+    void normalAndNonIdempotentCallsAreNeverCancelled() {
+      scheduler.offer(call("n", PriorityClass.NORMAL), 0);
+      scheduler.offer(call("b").priority(PriorityClass.BULK).idempotent(false).build(), 0);
+      scheduler.dispatch(0);
+      scheduler.offer(call("u", PriorityClass.URGENT), 10);
+      scheduler.dispatch(10);
+      assertEquals(List.of(), scheduler.preempt(10));
+    }
+  }
+}
