Give a starting VM all pages of the table in turn

Change: the low bits of a ping's sequence number the pages, so that requests to several VMs bring different pages, and a VM that has never had the same digest as another asks in each period. hasSynchronised tells the daemon when the table was complete for the first time.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/GossipComposer.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/GossipComposer.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.random.RandomGenerator;
 
 /** Chooses what a message tells its receiver, within the bounds of the settings. */
 final class GossipComposer {
@@ -12,18 +11,15 @@
   private final MembershipSettings settings;
   private final MemberTable table;
   private final PeerDirectory peers;
-  private final RandomGenerator random;
   private final DeltaQueue queue = new DeltaQueue();
   private VmId self;
   private long configVersion;
   private long nextPageMs = Long.MIN_VALUE;
 
-  GossipComposer(
-      MembershipSettings settings, MemberTable table, PeerDirectory peers, RandomGenerator random) {
+  GossipComposer(MembershipSettings settings, MemberTable table, PeerDirectory peers) {
     this.settings = settings;
     this.peers = peers;
     this.table = table;
-    this.random = random;
   }
 
   void self(VmId vm) {
@@ -63,7 +59,25 @@
   }
 
   /** Composes an answer; the asker is told first if more is held of it than it says itself. */
-  Gossip composeAnswer(MemberDelta asker, boolean withPage, long nowMs) {
+  Gossip composeAnswer(MemberDelta asker) {
+    return gossip(answerDeltas(asker));
+  }
+
+  /** Composes an answer with the page of the table that the sequence of the request names. */
+  Gossip composePage(MemberDelta asker, long sequence, long nowMs) {
+    Map<VmId, MemberDelta> deltas = answerDeltas(asker);
+    // One page in a period bounds the bytes when many VMs start or a partition heals.
+    if (nowMs >= nextPageMs) {
+      nextPageMs = nowMs + settings.periodMs();
+      int page = (int) (sequence & ((1 << MembershipMessage.PAGE_BITS) - 1));
+      for (MemberDelta delta : table.page(page, settings.syncPageDeltas())) {
+        deltas.putIfAbsent(delta.info().vm(), delta);
+      }
+    }
+    return gossip(deltas);
+  }
+
+  private Map<VmId, MemberDelta> answerDeltas(MemberDelta asker) {
     Map<VmId, MemberDelta> deltas = new LinkedHashMap<>();
     table
         .get(asker.info().vm())
@@ -71,14 +85,7 @@
         .filter(held -> held.supersedes(asker.incarnation(), asker.state()))
         .ifPresent(held -> deltas.put(asker.info().vm(), held));
     addQueued(deltas);
-    // One page in a period bounds the bytes when many VMs start or a partition heals.
-    if (withPage && nowMs >= nextPageMs) {
-      nextPageMs = nowMs + settings.periodMs();
-      for (MemberDelta delta : table.page(settings.syncPageDeltas(), random)) {
-        deltas.putIfAbsent(delta.info().vm(), delta);
-      }
-    }
-    return gossip(deltas);
+    return deltas;
   }
 
   /** Composes an answer for another VM that leads with what the probed VM said of itself. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MemberTable.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MemberTable.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.random.RandomGenerator;
 
 /** The members with their suspicion deadlines and times of death. */
 final class MemberTable {
@@ -143,16 +142,14 @@
     return forgotten;
   }
 
-  /** Returns a run of members of the given length from a random place in the order of ids. */
-  List<MemberDelta> page(int length, RandomGenerator random) {
-    List<Member> all = new ArrayList<>(members.values());
-    int count = Math.min(length, all.size());
-    int start = random.nextInt(all.size());
-    List<MemberDelta> page = new ArrayList<>(count);
-    for (int i = 0; i < count; i++) {
-      page.add(deltaOf(all.get((start + i) % all.size())));
-    }
-    return page;
+  /** Returns the members of a page in the order of ids; page numbers go round. */
+  List<MemberDelta> page(int number, int length) {
+    int pages = (members.size() + length - 1) / length;
+    return members.values().stream()
+        .skip((long) (number % pages) * length)
+        .limit(length)
+        .map(MemberTable::deltaOf)
+        .toList();
   }
 
   static MemberDelta deltaOf(Member member) {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
@@ -62,7 +62,7 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.random = Objects.requireNonNull(random, "random");
     this.table = new MemberTable(settings.suspicionMs());
-    this.composer = new GossipComposer(settings, table, peers, random);
+    this.composer = new GossipComposer(settings, table, peers);
     this.local = new LocalMember(self, startIncarnation, table, peers, composer, events, nowMs);
     this.probes = new ProbeTracker(random.nextLong(1, Integer.MAX_VALUE));
     this.ownCentreRound = new ProbeRound(random);
@@ -183,6 +183,15 @@
     return held.isPresent() ? held : peers.address(vm);
   }
 
+  /**
+   * Returns whether this VM's table has been equal to that of another VM since the start. Until
+   * then it chooses owners from a part of the VMs, so that it should not report itself as ready
+   * unless it is the first of its region.
+   */
+  public boolean hasSynchronised() {
+    return sync.hasSynchronised();
+  }
+
   /** Returns the changes that wait to be passed on, for metrics. */
   public int queuedDeltas() {
     return composer.queuedDeltas();
@@ -254,11 +263,13 @@
   private void probeAbsent(long nowMs, List<Outgoing> out) {
     boolean alone = table.ids(this::isProbed).isEmpty();
     nextAbsentProbeMs = nowMs + (alone ? settings.periodMs() : settings.absentProbePeriodMs());
-    absentRound.next(this::absent, this::isAbsent).ifPresent(vm -> probe(vm, false, nowMs, out));
+    absentRound
+        .next(() -> peers.absent(table), vm -> peers.isAbsent(vm, table))
+        .ifPresent(vm -> probe(vm, false, nowMs, out));
   }
 
   private void probe(VmId target, boolean judged, long nowMs, List<Outgoing> out) {
-    long sequence = probes.start(target, judged, nowMs);
+    long sequence = probes.start(target, judged, sync.nextPage(), nowMs);
     Gossip gossip = composer.compose(target);
     out.add(
         new Outgoing(target, new MembershipMessage.Ping(sequence, sync.takeDue(nowMs), gossip)));
@@ -267,7 +278,10 @@
   private Outgoing answer(VmId from, MembershipMessage.Ping ping, long nowMs) {
     boolean differs = ping.gossip().tableDigest() != table.digest();
     boolean withPage = ping.tableWanted() && differs;
-    Gossip gossip = composer.composeAnswer(ping.gossip().sender(), withPage, nowMs);
+    Gossip gossip =
+        withPage
+            ? composer.composePage(ping.gossip().sender(), ping.sequence(), nowMs)
+            : composer.composeAnswer(ping.gossip().sender());
     return new Outgoing(from, new MembershipMessage.Ack(ping.sequence(), gossip));
   }
 
@@ -333,7 +347,7 @@
   private List<Outgoing> farewells(long nowMs) {
     List<Outgoing> out = new ArrayList<>();
     for (VmId vm : randomLive(FAREWELLS, local.vm())) {
-      long sequence = probes.start(vm, false, nowMs);
+      long sequence = probes.start(vm, false, 0, nowMs);
       Gossip gossip = composer.compose(vm);
       out.add(new Outgoing(vm, new MembershipMessage.Ping(sequence, false, gossip)));
     }
@@ -370,21 +384,6 @@
     return isProbed(member) && !member.info().dataCentre().equals(local.info().dataCentre());
   }
 
-  private List<VmId> absent() {
-    List<VmId> absent = table.ids(member -> member.state() == MemberState.DEAD);
-    for (VmId vm : peers.vms()) {
-      if (table.get(vm).isEmpty() && !vm.equals(local.vm())) {
-        absent.add(vm);
-      }
-    }
-    return absent;
-  }
-
-  private boolean isAbsent(VmId vm) {
-    Optional<Member> held = table.get(vm);
-    return held.isPresent() ? held.get().state() == MemberState.DEAD : peers.contains(vm);
-  }
-
   private void refreshView() {
     if (view.version() != table.version()) {
       view = table.view(local.vm());
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipMessage.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipMessage.java
@@ -6,13 +6,18 @@
 /** A message between the membership controllers of two VMs. */
 public sealed interface MembershipMessage {
 
+  /** The low bits of a ping's sequence that hold the number of the page asked for. */
+  int PAGE_BITS = 8;
+
   /** Returns the part that every message carries. */
   Gossip gossip();
 
   /**
    * Asks the receiver for an {@link Ack} with the same sequence.
    *
-   * @param sequence matches the answer; unique for the sender
+   * @param sequence matches the answer; unique for the sender. Its low {@link #PAGE_BITS} bits
+   *     number the pages that the sender asks for, so that requests to several VMs bring different
+   *     pages
    * @param tableWanted whether the answer should carry a page of the receiver's table if the table
    *     digests differ
    * @param gossip the common part
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/PeerDirectory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/PeerDirectory.java
@@ -65,18 +65,23 @@
     return listVersion == newestHeardVersion && listed.containsKey(vm) && !leaving.contains(vm);
   }
 
-  boolean contains(VmId vm) {
-    return seeds.containsKey(vm) || listed.containsKey(vm);
-  }
-
   Optional<PeerAddress> address(VmId vm) {
     PeerAddress address = listed.get(vm);
     return Optional.ofNullable(address != null ? address : seeds.get(vm));
   }
 
-  List<VmId> vms() {
-    Set<VmId> vms = new LinkedHashSet<>(listed.keySet());
-    vms.addAll(seeds.keySet());
-    return new ArrayList<>(vms);
+  /** Returns the VMs that are dead or known by name only. */
+  List<VmId> absent(MemberTable table) {
+    Set<VmId> absent = new LinkedHashSet<>(listed.keySet());
+    absent.addAll(seeds.keySet());
+    absent.removeIf(vm -> table.get(vm).isPresent());
+    absent.addAll(table.ids(member -> member.state() == MemberState.DEAD));
+    return new ArrayList<>(absent);
+  }
+
+  /** Returns whether the VM is dead or known by name only. */
+  boolean isAbsent(VmId vm, MemberTable table) {
+    boolean named = seeds.containsKey(vm) || listed.containsKey(vm);
+    return table.get(vm).map(member -> member.state() == MemberState.DEAD).orElse(named);
   }
 }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/ProbeTracker.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/ProbeTracker.java
@@ -43,9 +43,9 @@
    */
   record Relay(VmId origin, long originSequence, VmId target, long sentAtMs) {}
 
-  /** Starts a probe and returns its sequence. */
-  long start(VmId target, boolean judged, long nowMs) {
-    long sequence = nextSequence++;
+  /** Starts a probe that asks for the page, if for any, and returns its sequence. */
+  long start(VmId target, boolean judged, int page, long nowMs) {
+    long sequence = takeSequence(page);
     probes.put(sequence, new Probe(sequence, target, nowMs, judged, false));
     return sequence;
   }
@@ -55,7 +55,7 @@
     if (relays.size() >= MAX_RELAYS) {
       return Optional.empty();
     }
-    long sequence = nextSequence++;
+    long sequence = takeSequence(0);
     relays.put(sequence, new Relay(origin, originSequence, target, nowMs));
     return Optional.of(sequence);
   }
@@ -103,6 +103,11 @@
     return unanswered;
   }
 
+  private long takeSequence(int page) {
+    long pages = 1L << MembershipMessage.PAGE_BITS;
+    return nextSequence++ * pages + page % pages;
+  }
+
   /** Drops every probe without a verdict. */
   void clear() {
     probes.clear();
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/TableSync.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/TableSync.java
@@ -11,6 +11,8 @@
   private final MembershipSettings settings;
   private long nextMs;
   private long differSinceMs = NEVER_MS;
+  private boolean everEqual;
+  private int pagesAsked;
 
   TableSync(MembershipSettings settings, long firstMs) {
     this.settings = settings;
@@ -23,21 +25,34 @@
       return false;
     }
     nextMs = nowMs + settings.syncPeriodMs();
+    pagesAsked++;
     return true;
   }
 
+  /** Returns the number of the page to ask for next. */
+  int nextPage() {
+    return pagesAsked;
+  }
+
+  /** Returns whether this VM's table has ever been equal to that of another VM. */
+  boolean hasSynchronised() {
+    return everEqual;
+  }
+
   /**
    * Takes in an answer. Digests differ for a few seconds after each change, so a page is asked for
-   * early only when the difference lasts or the last page brought much that was new.
+   * early only by a VM that has just started, and when the difference lasts or the last page
+   * brought much that was new.
    */
   void answered(boolean digestsDiffer, int newDeltas, long nowMs) {
     if (!digestsDiffer) {
       differSinceMs = NEVER_MS;
+      everEqual = true;
       return;
     }
     differSinceMs = Math.min(differSinceMs, nowMs);
     boolean lasting = nowMs - differSinceMs >= DELTA_SPREAD_MS;
-    if (lasting || newDeltas > settings.maxDeltas()) {
+    if (!everEqual || lasting || newDeltas > settings.maxDeltas()) {
       nextMs = Math.min(nextMs, nowMs + settings.fastSyncPeriodMs());
     }
   }
