Add endpoint drain and the planned stop of a VM

Change: DrainState keeps each source apart, with a resume rule for each, and ignores input that is not newer.

--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Endpoints that leave and the planned stop of a VM. */
+package io.magnoliaroute.core.drain;
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/drain/DrainStateTest.java
@@ -0,0 +1,99 @@
+package io.magnoliaroute.core.drain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.EndpointId;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class DrainStateTest {
+
+  private static final long HOLD_MS = 30_000;
+  private static final EndpointId ENGINE = new EndpointId("engine-1");
+
+  private final DrainState state = new DrainState(HOLD_MS);
+
+  @Nested
+  final class WhenSeveralSourcesNameAnEndpoint {
+
+    /** Guards against a resume by one source that sends work to an endpoint another one drains. */
+    @Test
+    void itDrainsFromTheEarliestUntilTheLastHasEnded() {
+      state.applyDraining(7, ENGINE, 200);
+      state.applySettings(1, Set.of(ENGINE), 100);
+      state.applyPlatformList(1, Set.of(ENGINE), Set.of(), 300);
+      assertEquals(100, state.drain(ENGINE).orElseThrow().sinceMs());
+      state.applySettings(2, Set.of(), 400);
+      assertEquals(200, state.drain(ENGINE).orElseThrow().sinceMs());
+      state.applyResumed(8, ENGINE);
+      assertEquals(
+          Optional.of(new EndpointDrain(ENGINE, 300, Set.of(DrainSource.PLATFORM))),
+          state.drain(ENGINE));
+      state.applyPlatformList(2, Set.of(), Set.of(ENGINE), 500);
+      assertFalse(state.isDraining(ENGINE));
+    }
+
+    /** Guards against effects that are missing or repeated. */
+    @Test
+    void eachChangeIsReportedOnce() {
+      state.refused(ENGINE, 0);
+      state.applyDraining(1, ENGINE, 0);
+      assertEquals(List.of(new DrainChange(ENGINE, true)), state.poll(0));
+      assertEquals(List.of(), state.poll(1));
+      state.applyResumed(2, ENGINE);
+      assertEquals(List.of(new DrainChange(ENGINE, false)), state.poll(2));
+      assertEquals(List.of(), state.poll(3));
+    }
+  }
+
+  @Nested
+  final class WhenInputIsOld {
+
+    /** Guards against a late record, settings version or list that resumes a leaving endpoint. */
+    @Test
+    void itChangesNothing() {
+      state.applyDraining(9, ENGINE, 0);
+      state.applyResumed(8, ENGINE);
+      assertTrue(state.isDraining(ENGINE));
+      state.applyResumed(10, ENGINE);
+      state.applyDraining(9, ENGINE, 0);
+      assertFalse(state.isDraining(ENGINE));
+      state.applySettings(5, Set.of(ENGINE), 0);
+      state.applySettings(4, Set.of(), 0);
+      state.applyPlatformList(5, Set.of(ENGINE), Set.of(), 0);
+      state.applyPlatformList(5, Set.of(), Set.of(ENGINE), 0);
+      Set<DrainSource> both = Set.of(DrainSource.SETTINGS, DrainSource.PLATFORM);
+      assertEquals(both, state.drain(ENGINE).orElseThrow().sources());
+    }
+  }
+
+  @Nested
+  final class WhenAnEndpointRefuses {
+
+    /** Guards against an endpoint that is never tried again after a refusal. */
+    @Test
+    void itIsTriedAgainAfterTheHoldOrAnAcceptedCall() {
+      state.refused(ENGINE, 1_000);
+      state.refused(ENGINE, 5_000);
+      state.poll(5_000 + HOLD_MS - 1);
+      assertTrue(state.isDraining(ENGINE));
+      state.poll(5_000 + HOLD_MS);
+      assertFalse(state.isDraining(ENGINE));
+    }
+
+    /** Guards against a call sent before the refusal whose answer ends the drain. */
+    @Test
+    void onlyACallSentAfterTheRefusalEndsTheDrain() {
+      state.refused(ENGINE, 1_000);
+      state.accepted(ENGINE, 900);
+      assertTrue(state.isDraining(ENGINE));
+      state.accepted(ENGINE, 1_100);
+      assertFalse(state.isDraining(ENGINE));
+    }
+  }
+}
