Add placement of models and the choice between KV transfer and recomputation

Change: PlacementController orders loads and unloads from listings, with a token bucket in bytes, back-off, and the variant that the fewest engines serve first. An owner that is refused for an old token stops ordering. Engines that ignore tokens are listed periodically and ordered again. KvMove compares estimates.

Conclusion: the daemon has to send orders and listing requests, and to divide the weight store's rate among group owners.

--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/placement/PlacementTest.java
@@ -0,0 +1,168 @@
+package io.magnoliaroute.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.placement.PlacementOrder.Action;
+import io.magnoliaroute.core.placement.PlacementOrder.Answer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class PlacementTest {
+
+  private static final long SIZE_BYTES = 1_000;
+  private static final PlacementSettings SETTINGS =
+      new PlacementSettings(100, 2 * SIZE_BYTES, 1_000, 8_000, 10_000);
+  private static final EndpointId ENGINE = new EndpointId("engine-1");
+  private static final EndpointId OTHER = new EndpointId("engine-2");
+  private static final ModelVariant PLANNER = new ModelVariant("planner", "", "1");
+  private static final ModelVariant ROUTES = new ModelVariant("planner", "routes", "3");
+
+  private final PlacementController controller = new PlacementController(SETTINGS, 5, 0);
+
+  @Nested
+  final class WhenWeightsAreMissing {
+
+    /** Guards against load orders that overrun the weight store. */
+    @Test
+    void loadsStayWithinTheBurstAndTheRate() {
+      for (int i = 0; i < 10; i++) {
+        EndpointId engine = new EndpointId("engine-" + i);
+        controller.want(engine, Map.of(PLANNER, SIZE_BYTES));
+        controller.onListing(engine, Set.of());
+      }
+      assertEquals(2, controller.poll(0).size());
+      int orders = 0;
+      for (long nowMs = 100; nowMs <= 60_000; nowMs += 100) {
+        orders += controller.poll(nowMs).size();
+      }
+      assertEquals(6, orders);
+    }
+
+    /** Guards against a variant larger than the burst that is never loaded. */
+    @Test
+    void aVariantLargerThanTheBurstIsLoadedAndDelaysTheNext() {
+      controller.want(ENGINE, Map.of(PLANNER, 5 * SIZE_BYTES, ROUTES, SIZE_BYTES));
+      controller.onListing(ENGINE, Set.of(ROUTES));
+      assertEquals(1, controller.poll(0).size());
+      controller.onListing(ENGINE, Set.of(PLANNER));
+      assertEquals(List.of(), controller.poll(39_900));
+      assertEquals(1, controller.poll(40_000).size());
+    }
+
+    /** Guards against a second copy that is loaded before the first of another variant. */
+    @Test
+    void theVariantThatTheFewestEnginesServeComesFirst() {
+      controller.want(ENGINE, Map.of(PLANNER, 2 * SIZE_BYTES));
+      controller.want(OTHER, Map.of(PLANNER, SIZE_BYTES, ROUTES, 2 * SIZE_BYTES));
+      controller.onListing(ENGINE, Set.of());
+      controller.onListing(OTHER, Set.of(PLANNER));
+      assertEquals(List.of(new PlacementOrder(OTHER, Action.LOAD, ROUTES, 5)), controller.poll(0));
+    }
+
+    /** Guards against a flood of orders while the weight store is down. */
+    @Test
+    void failedOrdersBackOff() {
+      controller.want(ENGINE, Map.of(PLANNER, 1L));
+      controller.onListing(ENGINE, Set.of());
+      List<Long> sentAtMs = new ArrayList<>();
+      for (long nowMs = 0; nowMs < 32_000; nowMs += 500) {
+        for (PlacementOrder order : controller.poll(nowMs)) {
+          sentAtMs.add(nowMs);
+          controller.onAnswer(order, Answer.FAILED);
+        }
+      }
+      assertEquals(List.of(0L, 1_000L, 3_000L, 7_000L, 15_000L, 23_000L, 31_000L), sentAtMs);
+    }
+  }
+
+  @Nested
+  final class WhenTheOwnerIsNew {
+
+    /** Guards against unloads and loads on an engine of which nothing is known yet. */
+    @Test
+    void nothingIsOrderedBeforeTheFirstListing() {
+      controller.want(ENGINE, Map.of(PLANNER, SIZE_BYTES));
+      assertEquals(List.of(), controller.poll(0));
+      assertEquals(List.of(ENGINE), controller.listingsDue(0));
+      assertEquals(List.of(ENGINE), controller.listingsDue(1_000));
+      controller.onListing(ENGINE, Set.of(ROUTES));
+      assertEquals(2, controller.poll(1_000).size());
+      assertEquals(List.of(ENGINE), controller.serving(ROUTES));
+    }
+
+    /** Guards against an earlier owner that goes on to order after an engine refused its token. */
+    @Test
+    void anOwnerWithAnOldTokenStopsOrderingUntilItHasANewOne() {
+      controller.want(ENGINE, Map.of(PLANNER, SIZE_BYTES));
+      controller.onListing(ENGINE, Set.of());
+      PlacementOrder order = controller.poll(0).get(0);
+      controller.onAnswer(order, Answer.OLD_TOKEN);
+      assertTrue(controller.isFenced());
+      assertEquals(List.of(), controller.poll(60_000));
+      controller.renewToken(9);
+      controller.onAnswer(order, Answer.OLD_TOKEN);
+      assertFalse(controller.isFenced());
+      assertEquals(9, controller.poll(60_000).get(0).fencingToken());
+    }
+
+    /** Guards against an engine that ignores tokens and stays as an earlier owner ordered it. */
+    @Test
+    void anEngineThatIgnoresTokensConvergesAfterTheEarlierOwnerStops() {
+      Random random = new Random(7);
+      PlacementController earlier = new PlacementController(SETTINGS, 4, 0);
+      earlier.want(ENGINE, Map.of(ROUTES, 1L));
+      controller.want(ENGINE, Map.of(PLANNER, 1L));
+      Set<ModelVariant> loaded = new HashSet<>();
+      for (long nowMs = 0; nowMs < 60_000; nowMs += 500) {
+        carryOut(controller, loaded, nowMs, random);
+        if (nowMs < 20_000) {
+          carryOut(earlier, loaded, nowMs, random);
+        }
+      }
+      assertEquals(Set.of(PLANNER), loaded);
+    }
+
+    private void carryOut(
+        PlacementController owner, Set<ModelVariant> loaded, long nowMs, Random random) {
+      for (EndpointId engine : owner.listingsDue(nowMs)) {
+        owner.onListing(engine, loaded);
+      }
+      for (PlacementOrder order : owner.poll(nowMs)) {
+        if (order.action() == Action.LOAD) {
+          loaded.add(order.variant());
+        } else {
+          loaded.remove(order.variant());
+        }
+        if (random.nextBoolean()) {
+          owner.onAnswer(order, Answer.DONE);
+        }
+      }
+    }
+  }
+
+  /** Guards against transfers that take longer than the recomputation they replace. */
+  @Test
+  void kvCacheIsTransferredOnlyWhereThatIsClearlyFaster() {
+    Map<Long, KvMove> expected = new HashMap<>();
+    expected.put(0L, KvMove.TRANSFER);
+    expected.put(9_000L, KvMove.TRANSFER);
+    expected.put(9_400L, KvMove.RECOMPUTE);
+    expected.put(10_000L, KvMove.RECOMPUTE);
+    // 10,000 tokens of 100 KB at 20 MB/ms take 70 ms with set-up; prefill computes 10 tokens/ms.
+    expected.forEach(
+        (cachedTokens, move) ->
+            assertEquals(
+                move,
+                KvMove.choose(new KvEstimate(10_000, cachedTokens, 100_000, 20_000_000, 20, 10))));
+  }
+}
