Withdraw the reservation of a turn whose history lost to a conflict

HistoryBuffer now withdraws the reservation when it reports a conflict, and hold() needs a reservation. Turns from another VM come in through offer(), which stops at the first turn that does not fit. The sequences also check the dependence of turns, that no intent stays open, and pause VMs before the last check; deadlines are 1 to 4 s.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/HistoryBuffer.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/HistoryBuffer.java
@@ -93,8 +93,8 @@
   }
 
   /**
-   * Holds a completed turn in the room that was reserved for it. A turn without a reservation, such
-   * as one that a peer mirrored, is subject to the bounds.
+   * Holds a completed turn in the room that was reserved for it. A reservation is withdrawn when a
+   * conflict drops the turns that the call was built on.
    *
    * @param loggedTurns the number of turns in the program's history as far as it was read
    */
@@ -106,11 +106,7 @@
     }
     ProgramTurns held = programs.get(program);
     if (held == null || held.reservedBytes.isEmpty()) {
-      HoldResult room = reserve(completed.partition(), program, turn.sizeBytes());
-      if (!room.held()) {
-        return room;
-      }
-      held = programs.get(program);
+      return HoldResult.NOT_RESERVED;
     }
     usedBytes += turn.sizeBytes() - held.reservedBytes.orElseThrow();
     held.reservedBytes = Optional.empty();
@@ -118,6 +114,28 @@
     return HoldResult.HELD;
   }
 
+  /**
+   * Takes the unlogged turns of one program from another VM, such as an earlier owner or a mirror.
+   *
+   * <p>Turns that the history or this buffer has are passed over, and those that follow it are
+   * held. The first turn that does not fit and all after it are returned.
+   *
+   * @param turns all unlogged turns of the program that the other VM holds, in order
+   */
+  public List<TurnConflict> offer(
+      int partition, ProgramId program, List<Turn> turns, PartitionState state) {
+    List<TurnConflict> conflicts = new ArrayList<>();
+    Optional<ProgramView> view = state.program(program);
+    for (Turn turn : turns) {
+      TurnFit fit = conflicts.isEmpty() ? fitOf(program, view, turn) : TurnFit.AFTER_CONFLICT;
+      if (fit == TurnFit.OPEN && !holdOffered(partition, program, turn, view.get().nextTurn())) {
+        fit = TurnFit.NO_ROOM;
+      }
+      fit.conflict().ifPresent(kind -> conflicts.add(new TurnConflict(program, turn, kind)));
+    }
+    return conflicts;
+  }
+
   /** Returns the number of the next turn, counting those held. */
   public int nextTurn(ProgramId program, int loggedTurns) {
     ProgramTurns held = programs.get(program);
@@ -227,6 +245,26 @@
     return programs.values().stream().mapToInt(held -> held.turns.size()).sum();
   }
 
+  private boolean holdOffered(int partition, ProgramId program, Turn turn, int loggedTurns) {
+    if (!reserve(partition, program, turn.sizeBytes()).held()) {
+      return false;
+    }
+    boolean held = hold(new HeldTurn(partition, program, turn), loggedTurns).held();
+    if (!held) {
+      release(program);
+    }
+    return held;
+  }
+
+  private TurnFit fitOf(ProgramId program, Optional<ProgramView> view, Turn turn) {
+    for (Turn held : turns(program)) {
+      if (held.number() == turn.number()) {
+        return TurnFit.sameContent(held, turn) ? TurnFit.PRESENT : TurnFit.DIFFERENT_CONTENT;
+      }
+    }
+    return TurnFit.of(view, turn);
+  }
+
   private List<TurnConflict> reconcileProgram(
       ProgramId program, ProgramTurns held, PartitionState state) {
     List<TurnConflict> conflicts = new ArrayList<>();
@@ -241,6 +279,9 @@
         usedBytes -= turn.sizeBytes();
       }
     }
+    if (!conflicts.isEmpty()) {
+      release(program);
+    }
     removeIfEmpty(program, held);
     return conflicts;
   }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/HoldResult.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/HoldResult.java
@@ -9,7 +9,12 @@
   /** The program has the most unlogged turns; the call is refused as not run. */
   TOO_MANY_TURNS,
   /** The turn is not the next one of its program. */
-  OUT_OF_ORDER;
+  OUT_OF_ORDER,
+  /**
+   * No room is reserved: a conflict took the history that the turn was built on, so that the turn
+   * cannot join it.
+   */
+  NOT_RESERVED;
 
   /** Returns whether the turn is held. */
   public boolean held() {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/TurnConflict.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/TurnConflict.java
@@ -17,6 +17,8 @@
     DIFFERENT_CONTENT,
     /** An earlier held turn of the program cannot join, and this one builds on it. */
     AFTER_CONFLICT,
+    /** The turn is not the next one, or the bounds of the buffer are reached. */
+    NO_ROOM,
     /** The program has ended. */
     PROGRAM_ENDED,
     /** The program is not known. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/TurnFit.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/TurnFit.java
@@ -10,6 +10,7 @@
   PRESENT(true, null),
   DIFFERENT_CONTENT(true, TurnConflict.Kind.DIFFERENT_CONTENT),
   AFTER_CONFLICT(true, TurnConflict.Kind.AFTER_CONFLICT),
+  NO_ROOM(true, TurnConflict.Kind.NO_ROOM),
   PROGRAM_ENDED(true, TurnConflict.Kind.PROGRAM_ENDED),
   PROGRAM_UNKNOWN(true, TurnConflict.Kind.PROGRAM_UNKNOWN);
 
@@ -41,7 +42,7 @@
     return view.live() ? OPEN : PROGRAM_ENDED;
   }
 
-  private static boolean sameContent(Turn logged, Turn held) {
+  static boolean sameContent(Turn logged, Turn held) {
     return logged.request().equals(held.request()) && logged.answer().equals(held.answer());
   }
 }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SequenceCheck.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SequenceCheck.java
@@ -89,6 +89,7 @@
       everything.apply(entry.offset(), record.orElseThrow());
     }
     checkLogged(everything, "reader of everything");
+    check(everything.openIntents().isEmpty(), "open intents: " + everything.openIntents());
     PartitionState restarted = readFromSnapshot();
     check(restarted.entries().equals(everything.entries()), "a snapshot reader differs");
     for (SimVm vm : run.vms) {
@@ -116,6 +117,9 @@
     for (int i = 0; i < program.turns().size(); i++) {
       String content = program.turns().get(i).request().toUtf8();
       check(content.startsWith(program.id() + ":" + i + ":"), "G1/G2 " + content + " at " + i);
+      String previous = i == 0 ? "" : program.turns().get(i - 1).request().toUtf8();
+      String answer = program.turns().get(i).answer().toUtf8();
+      check(answer.endsWith("<" + previous), "G1 turn " + i + " of " + previous + ": " + answer);
     }
   }
 
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SequenceRun.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SequenceRun.java
@@ -34,7 +34,7 @@
   }
 
   void run() {
-    moveOwnership();
+    moveOwnershipRepeatedly();
     time.in(200, this::disturb);
     time.runUntil(CHAOS_MS);
     healed = true;
@@ -60,14 +60,20 @@
     return routed ? owners.get(time.index(owners.size())) : vms.get(time.index(VMS));
   }
 
-  private void moveOwnership() {
+  /** Names one owner, or two for a while, as VMs with different views of membership do. */
+  void moveOwnership() {
     int first = time.index(VMS);
     int second = time.chance(0.3) ? time.index(VMS) : first;
     for (int i = 0; i < VMS; i++) {
       vms.get(i).want(i == first || (i == second && !healed));
     }
-    long stayMs = healed ? QUIET_MS : time.between(500, 5_000);
-    time.in(stayMs, this::moveOwnership);
+  }
+
+  private void moveOwnershipRepeatedly() {
+    moveOwnership();
+    if (!healed) {
+      time.in(time.between(500, 5_000), this::moveOwnershipRepeatedly);
+    }
   }
 
   private void disturb() {
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SimCaller.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SimCaller.java
@@ -10,7 +10,8 @@
 /** A caller with one program: it runs turns and actions, and repeats what it is not sure of. */
 final class SimCaller {
 
-  private static final long DEADLINE_MS = 1_500;
+  private static final long MIN_DEADLINE_MS = 1_000;
+  private static final long MAX_DEADLINE_MS = 4_000;
   private static final int MAX_ATTEMPTS = 5;
 
   /** What the caller was told of one request for an action. */
@@ -126,7 +127,7 @@
             Bytes.ofUtf8("pay " + key),
             false,
             attempt == 0,
-            nowMs + DEADLINE_MS);
+            nowMs + run.time.between(MIN_DEADLINE_MS, MAX_DEADLINE_MS));
     vm.action(
         request,
         reply -> told.add(new Told(key, attempt, nowMs, run.time.nowMs(), vm.name, reply)));
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SimVm.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SimVm.java
@@ -41,6 +41,7 @@
   static final long RETENTION_MS = 6_000;
   private static final ActionTiming TIMING = new ActionTiming(400, 20, 100, LEASE_MS + 50, 800);
   private static final long STEP_MS = 20;
+  private static final long SUSPECT_AFTER_MS = 300;
   private static final long READ_TIMEOUT_MS = 150;
   private static final long UNLOGGED_AFTER_MS = 700;
   private static final int PARTITION = 0;
@@ -103,6 +104,9 @@
 
   void pause(long durationMs) {
     pausedUntilMs = Math.max(pausedUntilMs, time.nowMs() + durationMs);
+    if (durationMs > LEASE_MS) {
+      time.in(SUSPECT_AFTER_MS, run::moveOwnership);
+    }
   }
 
   void want(boolean ownership) {
@@ -163,7 +167,8 @@
             told.accept(new TurnReply(false, false, next));
             return;
           }
-          Turn turn = new Turn(number, 0, Bytes.ofUtf8(content), Bytes.ofUtf8(name), 1, 1);
+          Bytes answer = Bytes.ofUtf8(name + "<" + previous(program, view.get()));
+          Turn turn = new Turn(number, 0, Bytes.ofUtf8(content), answer, 1, 1);
           time.in(time.between(10, 80), () -> deliver(() -> complete(program, turn, told)));
         });
   }
@@ -178,6 +183,13 @@
         });
   }
 
+  /** Returns the request of the newest turn, which the answer to the next one depends on. */
+  private String previous(ProgramId program, ProgramView view) {
+    List<Turn> turns = new ArrayList<>(view.turns());
+    turns.addAll(history.turns(program));
+    return turns.isEmpty() ? "" : turns.get(turns.size() - 1).request().toUtf8();
+  }
+
   private void complete(ProgramId program, Turn turn, Consumer<TurnReply> told) {
     int logged = reader.state().program(program).map(ProgramView::nextTurn).orElse(0);
     if (!history.hold(new HeldTurn(PARTITION, program, turn), logged).held()) {
@@ -350,6 +362,9 @@
         AbandonResult result = committer.abandon(cancel.id());
         run(flow, told, flow.appendCancelled(result, time.nowMs()));
       } else if (effect instanceof ActionEffect.PrepareSend) {
+        if (run.chaotic() && time.chance(0.05)) {
+          pause(time.between(300, 4_000));
+        }
         time.in(
             time.between(0, 30),
             () -> deliver(() -> run(flow, told, flow.beginSend(time.nowMs()))));
