--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/log/GroupCommitterTest.java
@@ -0,0 +1,100 @@
+package io.magnoliaroute.core.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.VmId;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class GroupCommitterTest {
+
+  private static final CommitLimits LIMITS = new CommitLimits(2, 1_000, 4, 400, 100, 50, 200);
+
+  private final RecordSequence ids = new RecordSequence(new WriterId(new VmId("vm-0"), 0));
+  private final GroupCommitter committer =
+      new GroupCommitter("program-0", LIMITS, new SplittableRandom(1));
+
+  private RecordId add() {
+    LogRecord record = new LogRecord(ids.next(), 1, Bytes.ofUtf8("body"));
+    assertEquals(AddResult.ACCEPTED, committer.add(record, 0));
+    return record.id();
+  }
+
+  @Nested
+  final class WithABatchInFlight {
+
+    /** Guards against a second batch that could overtake the first. */
+    @Test
+    void theNextBatchWaitsForTheAnswerAndTheInterval() {
+      RecordId first = add();
+      Batch batch = committer.next(0).orElseThrow();
+      RecordId second = add();
+      assertTrue(committer.next(1_000).isEmpty());
+      committer.appended(batch, 0);
+      assertTrue(committer.next(99).isEmpty());
+      assertEquals(List.of(first), batch.ids());
+      assertEquals(List.of(second), committer.next(100).orElseThrow().ids());
+    }
+
+    /** Guards against a repeat under new ids, and against one that grows while answers are lost. */
+    @Test
+    void aTimedOutBatchIsRepeatedWithItsOwnRecordsOnly() {
+      RecordId first = add();
+      Batch batch = committer.next(0).orElseThrow();
+      add();
+      committer.failed(batch, LogException.Kind.TIMED_OUT, 10);
+      Batch repeat = committer.next(1_000).orElseThrow();
+      assertEquals(List.of(first), repeat.ids());
+      assertEquals(batch.payloads(), repeat.payloads());
+      assertEquals(1, committer.counters(1_000).retries());
+    }
+
+    /** Guards against a record that is appended for ever although it was read back. */
+    @Test
+    void aRecordThatWasReadBackIsNotRepeated() {
+      add();
+      Batch batch = committer.next(0).orElseThrow();
+      RecordId second = add();
+      committer.failed(batch, LogException.Kind.TIMED_OUT, 10);
+      committer.readBack(batch.ids().get(0));
+      assertEquals(List.of(second), committer.next(1_000).orElseThrow().ids());
+    }
+
+    /** Guards against NOT_RUN for a record that may still land (G6). */
+    @Test
+    void anAbandonedRecordMayLandUnlessEachAppendWasRefused() {
+      RecordId refused = add();
+      Batch batch = committer.next(0).orElseThrow();
+      committer.failed(batch, LogException.Kind.UNAVAILABLE, 0);
+      assertEquals(AbandonResult.NEVER_APPENDED, committer.abandon(refused));
+      RecordId timedOut = add();
+      Batch second = committer.next(1_000).orElseThrow();
+      assertEquals(List.of(timedOut), second.ids());
+      committer.failed(second, LogException.Kind.TIMED_OUT, 1_000);
+      Batch third = committer.next(2_000).orElseThrow();
+      committer.failed(third, LogException.Kind.UNAVAILABLE, 2_000);
+      assertEquals(AbandonResult.MAY_LAND, committer.abandon(timedOut));
+      assertEquals(AbandonResult.NOT_HELD, committer.abandon(timedOut));
+    }
+  }
+
+  /** Guards against memory that grows without bound while the log is down. */
+  @Test
+  void recordsPastTheBoundsAreRefusedWithTheBound() {
+    for (int i = 0; i < 4; i++) {
+      add();
+    }
+    LogRecord record = new LogRecord(ids.next(), 1, Bytes.ofUtf8("body"));
+    assertEquals(AddResult.TOO_MANY_RECORDS, committer.add(record, 0));
+    Batch batch = committer.next(0).orElseThrow();
+    committer.appended(batch, 0);
+    LogRecord large = new LogRecord(ids.next(), 1, Bytes.copyOf(new byte[400]));
+    assertEquals(AddResult.TOO_MANY_BYTES, committer.add(large, 0));
+    assertEquals(2, committer.counters(50).refused());
+    assertEquals(50, committer.counters(50).oldestWaitingMs());
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/program/PartitionStateTest.java
@@ -0,0 +1,205 @@
+package io.magnoliaroute.core.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.log.RecordId;
+import io.magnoliaroute.core.log.RecordSequence;
+import io.magnoliaroute.core.log.SeenSequences;
+import io.magnoliaroute.core.log.WriterId;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.PriorityClass;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class PartitionStateTest {
+
+  private static final ProgramId PROGRAM = new ProgramId("p");
+  private final RecordSequence ids = new RecordSequence(new WriterId(new VmId("vm-0"), 0));
+  private final RecordSequence otherIds = new RecordSequence(new WriterId(new VmId("vm-1"), 0));
+  private PartitionState state = new PartitionState();
+
+  @BeforeEach
+  void startProgram() {
+    apply(claim(ids, 1));
+    apply(start(PROGRAM, "team", Optional.empty(), "key"));
+  }
+
+  private Verdict apply(ProgramRecord record) {
+    return state.apply(state.lastOffset() + 1, record);
+  }
+
+  private void assertRefused(Refusal reason, ProgramRecord record) {
+    assertEquals(new Verdict.Refused(reason), apply(record));
+  }
+
+  private static ProgramRecord.Claim claim(RecordSequence writer, long epoch) {
+    return new ProgramRecord.Claim(writer.next(), writer.writer().vm(), epoch);
+  }
+
+  private ProgramRecord.ProgramStarted start(
+      ProgramId id, String team, Optional<ProgramId> parent, String clientKey) {
+    return new ProgramRecord.ProgramStarted(
+        ids.next(),
+        1,
+        id,
+        new TeamId(team),
+        PriorityClass.NORMAL,
+        0,
+        0,
+        parent,
+        Optional.of(clientKey));
+  }
+
+  private static ProgramRecord.TurnAppended turn(RecordSequence writer, long epoch, int number) {
+    Turn turn = new Turn(number, 0, Bytes.ofUtf8("q"), Bytes.ofUtf8("a"), 1, 1);
+    return new ProgramRecord.TurnAppended(writer.next(), epoch, PROGRAM, turn);
+  }
+
+  private ProgramRecord.ActionIntent intent() {
+    return new ProgramRecord.ActionIntent(
+        ids.next(), 1, PROGRAM, "pay", 0, "payments", Bytes.ofUtf8("x"));
+  }
+
+  private ProgramRecord.ActionAbandoned abandon(RecordSequence writer, RecordId intent) {
+    return new ProgramRecord.ActionAbandoned(writer.next(), intent);
+  }
+
+  @Nested
+  final class Turns {
+
+    /** Guards against a turn that is taken twice under two ids, or that leaves a gap (G1). */
+    @Test
+    void aTurnWithAnotherNumberThanTheNextIsRefused() {
+      assertTrue(apply(turn(ids, 1, 0)).accepted());
+      assertRefused(Refusal.TURN_OUT_OF_ORDER, turn(ids, 1, 0));
+      assertRefused(Refusal.TURN_OUT_OF_ORDER, turn(ids, 1, 2));
+    }
+
+    /** Guards against an owner that writes on after another one claimed (G2). */
+    @Test
+    void aTurnOfAnEarlierEpochIsRefused() {
+      apply(claim(otherIds, 2));
+      assertRefused(Refusal.STALE_EPOCH, turn(ids, 1, 0));
+      assertTrue(apply(turn(otherIds, 2, 0)).accepted());
+    }
+
+    /** Guards against two owners of one epoch. */
+    @Test
+    void ofTwoClaimsOfOneEpochTheFirstIsInForce() {
+      assertRefused(Refusal.STALE_EPOCH, claim(otherIds, 1));
+      assertRefused(Refusal.STALE_EPOCH, turn(otherIds, 1, 0));
+    }
+
+    /** Guards against a lapse that overtakes a turn. */
+    @Test
+    void aLapseThatDoesNotKnowTheLastTurnIsRefused() {
+      apply(turn(ids, 1, 0));
+      assertRefused(
+          Refusal.TURNS_ADDED,
+          new ProgramRecord.ProgramEnded(ids.next(), 1, PROGRAM, EndReason.LAPSED, 0));
+    }
+  }
+
+  @Nested
+  final class Starts {
+
+    /** Guards against two programs for one call that the client repeated. */
+    @Test
+    void aSecondStartWithTheSameClientKeyFindsTheFirstProgram() {
+      Verdict verdict = apply(start(new ProgramId("p2"), "team", Optional.empty(), "key"));
+      assertEquals(new Verdict.StartedBefore(PROGRAM), verdict);
+    }
+
+    /** Guards against sub-agents that outlive their parent or reach into another team. */
+    @Test
+    void aSubAgentNeedsALiveParentOfItsTeam() {
+      ProgramId child = new ProgramId("c");
+      assertRefused(Refusal.PARENT_OF_OTHER_TEAM, start(child, "team2", Optional.of(PROGRAM), "k"));
+      assertRefused(Refusal.PARENT_UNKNOWN, start(child, "team", Optional.of(child), "k"));
+      apply(new ProgramRecord.ProgramEnded(ids.next(), 1, PROGRAM, EndReason.ENDED, 0));
+      assertRefused(Refusal.PARENT_ENDED, start(child, "team", Optional.of(PROGRAM), "k"));
+    }
+  }
+
+  @Nested
+  final class Intents {
+
+    /** Guards against an intent that is sent, or holds its key, after NOT_RUN was told (G6). */
+    @Test
+    void anAbandonedIntentIsVoidWheneverItLands() {
+      ProgramRecord.ActionIntent late = intent();
+      assertTrue(apply(abandon(ids, late.id())).accepted());
+      assertFalse(apply(late).accepted());
+      assertTrue(state.action(PROGRAM, "pay").isEmpty());
+    }
+
+    /** Guards against a key that is freed although its intent may have been sent (G7). */
+    @Test
+    void anAbandonByAnotherWriterDoesNotVoidTheIntent() {
+      ProgramRecord.ActionIntent first = intent();
+      apply(first);
+      apply(claim(otherIds, 2));
+      assertRefused(Refusal.NOT_THE_WRITER, abandon(otherIds, first.id()));
+      assertTrue(state.action(PROGRAM, "pay").isPresent());
+    }
+
+    /** Guards against a repeated append that brings a void intent back. */
+    @Test
+    void aRepeatOfAVoidIntentHasNoEffect() {
+      ProgramRecord.ActionIntent first = intent();
+      apply(first);
+      apply(abandon(ids, first.id()));
+      assertEquals(new Verdict.Duplicate(), apply(first));
+      assertTrue(state.openIntents().isEmpty());
+    }
+  }
+
+  @Nested
+  final class Snapshots {
+
+    /** Guards against an old snapshot that takes turns back (G2). */
+    @Test
+    void aSnapshotOfEarlierOffsetsChangesNothing() {
+      long asOf = state.lastOffset();
+      List<SnapshotEntry> old = state.entries();
+      apply(turn(ids, 1, 0));
+      assertFalse(state.restore(asOf, old));
+      assertEquals(1, state.program(PROGRAM).orElseThrow().nextTurn());
+    }
+
+    /** Guards against a part of the state that snapshots leave out, record ids included. */
+    @Test
+    void aRestoredStateDecidesAsTheOriginalDoes() {
+      ProgramRecord.ActionIntent first = intent();
+      apply(first);
+      apply(abandon(ids, first.id()));
+      PartitionState restored = new PartitionState();
+      assertTrue(restored.restore(state.lastOffset(), state.entries()));
+      assertEquals(state.entries(), restored.entries());
+      state = restored;
+      assertEquals(new Verdict.Duplicate(), apply(first));
+      assertEquals(
+          new Verdict.StartedBefore(PROGRAM),
+          apply(start(new ProgramId("p2"), "team", Optional.empty(), "key")));
+    }
+  }
+
+  /** Guards against memory that grows with the number of ids that never land. */
+  @Test
+  void sequencesWithGapsStayBoundedAndNewOnesAreStillTaken() {
+    SeenSequences seen = new SeenSequences();
+    for (long sequence = 0; sequence < 10_000; sequence += 2) {
+      assertTrue(seen.add(sequence));
+      assertFalse(seen.add(sequence));
+    }
+    assertEquals(2 * SeenSequences.MAX_RANGES, seen.ranges().size());
+  }
+}
