Add tests of the lease check and of replies without a verdict

Four tests drive one flow: not sent until the claim is proven anew, NOT_RUN only when the abandon is read back, UNKNOWN without a verdict and UNKNOWN for a key that cannot be read.

--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/ActionFlowTest.java
@@ -0,0 +1,135 @@
+package io.magnoliaroute.core.action;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.log.AbandonResult;
+import io.magnoliaroute.core.log.LogEntry;
+import io.magnoliaroute.core.log.LogPage;
+import io.magnoliaroute.core.log.LogRecordCodec;
+import io.magnoliaroute.core.log.ReadRequest;
+import io.magnoliaroute.core.log.RecordSequence;
+import io.magnoliaroute.core.log.WriterId;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.Outcome;
+import io.magnoliaroute.core.model.PriorityClass;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.program.PartitionLease;
+import io.magnoliaroute.core.program.PartitionOwner;
+import io.magnoliaroute.core.program.PartitionReader;
+import io.magnoliaroute.core.program.ProgramRecord;
+import io.magnoliaroute.core.program.ProgramRecordCodec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class ActionFlowTest {
+
+  private static final ProgramId PROGRAM = new ProgramId("p");
+  private static final long LEASE_MS = 500;
+  private static final ActionTiming TIMING = new ActionTiming(300, 20, 100, 600, 500);
+
+  private final WriterId me = new WriterId(new VmId("vm-0"), 0);
+  private final RecordSequence ids = new RecordSequence(me);
+  private final PartitionReader reader = new PartitionReader("program-0", 16);
+  private final PartitionLease lease = new PartitionLease(me, reader, LEASE_MS);
+  private final ActionFlow flow =
+      new ActionFlow(
+          new ActionRequest(PROGRAM, "pay", 0, "payments", Bytes.ofUtf8("x"), false, false, 2_000),
+          new ServiceTraits(false, false),
+          TIMING,
+          new PartitionOwner(reader, lease, ids));
+
+  @BeforeEach
+  void claimAndStart() {
+    land(lease.claim(ids));
+    land(
+        new ProgramRecord.ProgramStarted(
+            ids.next(),
+            1,
+            PROGRAM,
+            new TeamId("team"),
+            PriorityClass.NORMAL,
+            0,
+            0,
+            Optional.empty(),
+            Optional.empty()));
+    readToEnd(0);
+  }
+
+  private List<ActionEffect> land(ProgramRecord record) {
+    ReadRequest request = reader.nextRead();
+    Bytes payload = LogRecordCodec.encode(ProgramRecordCodec.toLogRecord(record));
+    LogEntry entry = new LogEntry(request.fromOffset(), payload);
+    LogPage page = new LogPage(List.of(entry), request.fromOffset() + 1, 0);
+    List<ActionEffect> effects = new ArrayList<>();
+    for (var applied : reader.accept(request, page, 0).applied()) {
+      effects.addAll(flow.onApplied(applied, 10));
+    }
+    return effects;
+  }
+
+  private void readToEnd(long issuedAtMs) {
+    ReadRequest request = reader.nextRead();
+    reader.accept(request, new LogPage(List.of(), request.fromOffset(), 0), issuedAtMs);
+  }
+
+  private static <T extends ActionEffect> T only(Class<T> type, List<ActionEffect> effects) {
+    List<T> found = effects.stream().filter(type::isInstance).map(type::cast).toList();
+    assertEquals(1, found.size(), effects.toString());
+    return found.get(0);
+  }
+
+  private static boolean sends(List<ActionEffect> effects) {
+    return effects.stream().anyMatch(ActionEffect.Send.class::isInstance);
+  }
+
+  /** Guards against an owner that sends after a pause, when another one may have the action. */
+  @Test
+  void anActionIsNotSentUntilTheClaimIsProvenAnew() {
+    land(only(ActionEffect.Append.class, flow.start(5)).record());
+    assertTrue(!sends(flow.beginSend(LEASE_MS)));
+    readToEnd(LEASE_MS);
+    assertTrue(sends(flow.beginSend(LEASE_MS + 1)));
+    assertTrue(!sends(flow.beginSend(LEASE_MS + 2)));
+  }
+
+  /** Guards against NOT_RUN while the intent may still win (G6). */
+  @Test
+  void aGivenUpActionIsNotRunOnlyWhenTheAbandonIsReadBack() {
+    ProgramRecord intent = only(ActionEffect.Append.class, flow.start(5)).record();
+    only(ActionEffect.CancelAppend.class, flow.tick(1_700));
+    ProgramRecord abandon =
+        only(ActionEffect.Append.class, flow.appendCancelled(AbandonResult.MAY_LAND, 1_700))
+            .record();
+    assertTrue(land(intent).isEmpty());
+    ActionReply reply = only(ActionEffect.Reply.class, land(abandon)).reply();
+    assertEquals(ActionReply.of(Outcome.NOT_RUN, ActionReason.DEADLINE_BEFORE_SEND), reply);
+    assertTrue(flow.closed());
+  }
+
+  /** Guards against a verdict that is invented when the log gave none in time. */
+  @Test
+  void withoutAVerdictTheReplyIsUnknown() {
+    flow.start(5);
+    flow.tick(1_700);
+    flow.appendCancelled(AbandonResult.MAY_LAND, 1_700);
+    ActionReply reply = only(ActionEffect.Reply.class, flow.tick(2_000)).reply();
+    assertEquals(Outcome.UNKNOWN, reply.outcome());
+  }
+
+  /** Guards against NOT_RUN for a key that may have run before, while the log cannot be read. */
+  @Test
+  void aRefusalWithoutAReadSinceArrivalIsUnknown() {
+    flow.start(5);
+    flow.tick(1_700);
+    assertTrue(flow.appendCancelled(AbandonResult.NEVER_APPENDED, 1_700).isEmpty());
+    ActionReply reply = only(ActionEffect.Reply.class, flow.tick(2_000)).reply();
+    assertEquals(ActionReason.KEY_NOT_VERIFIED, reply.reason());
+    assertEquals(Outcome.UNKNOWN, reply.outcome());
+  }
+}
