Test budgets in seeded sequences and serve small calls beside large ones

Cause: the ledger and the holder had no tests. Change: the holder keeps the costs of all waiting calls and asks for the largest that fits.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/Account.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/Account.java
@@ -66,6 +66,9 @@
     if (grant.settingsVersion() < settingsVersion) {
       return BudgetVerdict.STALE_SETTINGS;
     }
+    if (carriedMs == Long.MIN_VALUE) {
+      carriedMs = grant.timeMs();
+    }
     settingsVersion = grant.settingsVersion();
     budget = grant.budgetUnits();
     // Written as a difference, because the sum of two large amounts could overflow.
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/AccountAge.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/AccountAge.java
@@ -7,6 +7,6 @@
  *
  * @param team the team
  * @param period the period
- * @param carriedMs the time of its last snapshot, or {@link Long#MIN_VALUE} if there is none
+ * @param carriedMs the time of its last snapshot, or of its first grant if there is none
  */
 public record AccountAge(TeamId team, BudgetPeriod period, long carriedMs) {}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetCarryForward.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetCarryForward.java
@@ -11,9 +11,12 @@
 /** Makes the snapshots that carry accounts forward before the log drops their grants. */
 public final class BudgetCarryForward {
 
+  /** The retention divided by this is the wait for an own snapshot to be read back. */
+  private static final int REPEAT_DIVISOR = 16;
+
   private final CarryForwardSchedule schedule;
   private final String writer;
-  private final Map<String, Long> firstSeenMs = new HashMap<>();
+  private final Map<String, Long> sentMs = new HashMap<>();
   private long nextRecord = 1;
 
   /**
@@ -36,24 +39,18 @@
     if (!ledger.caughtUp()) {
       return List.of();
     }
+    sentMs.values().removeIf(sent -> nowMs - sent >= schedule.retentionMs() / REPEAT_DIVISOR);
     List<BudgetRecord> records = new ArrayList<>();
-    Map<String, Long> seen = new HashMap<>();
     for (AccountAge age : ledger.accountAges()) {
-      if (nowMs >= age.period().endMs()) {
-        continue;
-      }
       String key = age.team() + "|" + age.period().index() + "|" + age.period().lengthMs();
-      long sinceMs = Math.max(age.carriedMs(), firstSeenMs.getOrDefault(key, nowMs));
-      seen.put(key, sinceMs);
-      if (schedule.due(key, sinceMs, live, nowMs)) {
-        String id = writer + "/budget-snapshot/" + nextRecord++;
-        ledger.snapshot(age.team(), age.period(), id, nowMs).ifPresent(records::add);
-        // Waits for the snapshot to be read back before the next one.
-        seen.put(key, nowMs);
+      boolean ended = nowMs >= age.period().endMs();
+      if (ended || sentMs.containsKey(key) || !schedule.due(key, age.carriedMs(), live, nowMs)) {
+        continue;
       }
+      sentMs.put(key, nowMs);
+      String id = writer + "/budget-snapshot/" + nextRecord++;
+      ledger.snapshot(age.team(), age.period(), id, nowMs).ifPresent(records::add);
     }
-    firstSeenMs.clear();
-    firstSeenMs.putAll(seen);
     return records;
   }
 }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetCodec.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetCodec.java
@@ -85,6 +85,7 @@
       out.packString(grant.slice()).packString(grant.vm().value());
       out.packLong(grant.amountUnits()).packLong(grant.openedUnits());
       out.packLong(grant.budgetUnits()).packLong(grant.settingsVersion());
+      out.packLong(grant.timeMs());
     } else if (budgetRecord instanceof BudgetRecord.SliceOpened opened) {
       out.packString(opened.slice()).packLong(opened.openedUnits());
     } else if (budgetRecord instanceof BudgetRecord.SliceReleased released) {
@@ -122,6 +123,7 @@
         in.unpackLong(),
         in.unpackLong(),
         in.unpackLong(),
+        in.unpackLong(),
         in.unpackLong());
   }
 
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetHolder.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetHolder.java
@@ -90,14 +90,11 @@
     holding.largestCallUnits = Math.max(holding.largestCallUnits, units);
     Optional<List<Reservation.Part>> parts = holding.take(period, units, nowMs);
     if (parts.isEmpty()) {
-      holding.demandUnits = Math.max(holding.demandUnits, units);
-      holding.demandMs = nowMs;
+      holding.waiting.add(units, nowMs);
       return Optional.empty();
     }
     holding.lastReserveMs = nowMs;
-    if (units >= holding.demandUnits) {
-      holding.demandUnits = 0;
-    }
+    holding.waiting.served(units);
     Reservation made = new Reservation(nextReservation++, team, period, parts.get());
     open.put(made.id(), made);
     return Optional.of(made);
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetRecord.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetRecord.java
@@ -34,6 +34,7 @@
    * @param budgetUnits the budget of the period that the writer knew
    * @param settingsVersion the version of the team's branch that the budget comes from; a grant
    *     with an older version than an earlier grant of the account is refused
+   * @param timeMs when the grant was made; tells how old an account without a snapshot is
    */
   record SliceGranted(
       String recordId,
@@ -44,7 +45,8 @@
       long amountUnits,
       long openedUnits,
       long budgetUnits,
-      long settingsVersion)
+      long settingsVersion,
+      long timeMs)
       implements BudgetRecord {}
 
   /**
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/SlicePlanner.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/SlicePlanner.java
@@ -46,7 +46,8 @@
     if (!ledger.known(holding.team, period)) {
       return;
     }
-    long wanted = wantedUnits(holding);
+    holding.waiting.expire(nowMs, limits.demandMs());
+    long wanted = wantedUnits(holding, reachUnits(holding, period));
     if (wanted <= holding.availableUnits(period)) {
       return;
     }
@@ -54,15 +55,20 @@
     grant(holding, period, wanted, records);
   }
 
+  /** Returns what could become available with all of this VM's slices and the rest. */
+  private long reachUnits(TeamHolding holding, BudgetPeriod period) {
+    long budget = holding.settings.unitsPerPeriod();
+    long remaining = ledger.remainingUnits(holding.team, period, budget);
+    return holding.availableUnits(period) + holding.unopenedUnits(period) + Math.max(0, remaining);
+  }
+
   /** Returns the units that should be available: for waiting calls, or ahead of the next call. */
-  private long wantedUnits(TeamHolding holding) {
-    if (holding.demandUnits > 0 && nowMs - holding.demandMs >= limits.demandMs()) {
-      holding.demandUnits = 0;
-    }
+  private long wantedUnits(TeamHolding holding, long reachUnits) {
     boolean inUse =
         holding.lastReserveMs != Long.MIN_VALUE
             && nowMs - holding.lastReserveMs < limits.idleMs() / 2;
-    return Math.max(holding.demandUnits, inUse ? holding.largestCallUnits : 0);
+    long ahead = inUse && holding.largestCallUnits <= reachUnits ? holding.largestCallUnits : 0;
+    return Math.max(ahead, holding.waiting.largestWithin(reachUnits));
   }
 
   private void open(
@@ -101,7 +107,16 @@
     String id = recordIds.get();
     BudgetRecord granted =
         new BudgetRecord.SliceGranted(
-            id, holding.team, period, id, vm, amount, opened, budget, holding.settingsVersion);
+            id,
+            holding.team,
+            period,
+            id,
+            vm,
+            amount,
+            opened,
+            budget,
+            holding.settingsVersion,
+            nowMs);
     holding.pendingGrant = new HolderSlice.Pending(granted, nowMs);
     records.add(granted);
   }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/TeamHolding.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/TeamHolding.java
@@ -14,11 +14,10 @@
 
   final TeamId team;
   final Map<String, HolderSlice> slices = new LinkedHashMap<>();
+  final WaitingCalls waiting = new WaitingCalls();
   BudgetSettings settings;
   long settingsVersion;
   HolderSlice.Pending pendingGrant;
-  long demandUnits;
-  long demandMs;
   long largestCallUnits;
   long lastAmountUnits;
   long lastGrantMs;
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/budget/BudgetHolderTest.java
@@ -0,0 +1,247 @@
+package io.magnoliaroute.core.budget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.settings.BudgetSettings;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class BudgetHolderTest {
+
+  private static final TeamId TEAM = new TeamId("alpha");
+  private static final VmId VM = new VmId("vm-1");
+  private static final long PERIOD_MS = 60_000;
+  private static final BudgetPeriod PERIOD = new BudgetPeriod(0, PERIOD_MS);
+
+  private final BudgetLedger ledger = new BudgetLedger();
+  private final BudgetHolder holder = holder("vm-1/1", 1_000);
+  private final List<BudgetRecord> written = new ArrayList<>();
+  private long offset;
+  private long nowMs = 1_000;
+
+  private BudgetHolder holder(String writer, long budgetUnits) {
+    BudgetHolder made = new BudgetHolder(VM, writer, ledger, BudgetHolderLimits.defaults());
+    made.putTeam(TEAM, new BudgetSettings(budgetUnits, PERIOD_MS), 1);
+    return made;
+  }
+
+  private void roundTrip(BudgetHolder of) {
+    for (BudgetRecord each : of.poll(nowMs)) {
+      written.add(each);
+      of.applied(each, ledger.apply(offset++, each), nowMs);
+    }
+  }
+
+  private Reservation reserve(long units) {
+    Optional<Reservation> first = holder.reserve(TEAM, units, nowMs);
+    if (first.isPresent()) {
+      return first.get();
+    }
+    roundTrip(holder);
+    return holder.reserve(TEAM, units, nowMs).orElseThrow();
+  }
+
+  private static BudgetRecord.SliceGranted grant(
+      String slice, long amount, long opened, long budget, long version) {
+    return new BudgetRecord.SliceGranted(
+        slice, TEAM, PERIOD, slice, VM, amount, opened, budget, version, 1);
+  }
+
+  @Nested
+  final class LedgerRules {
+
+    /** Guards against racing grants that together exceed the budget. */
+    @Test
+    void theGrantThatWouldExceedTheBudgetIsRefused() {
+      assertEquals(BudgetVerdict.ACCEPTED, ledger.apply(0, grant("a", 600, 10, 1_000, 1)));
+      assertEquals(BudgetVerdict.BUDGET_EXCEEDED, ledger.apply(1, grant("b", 500, 10, 1_000, 1)));
+      assertEquals(BudgetVerdict.ACCEPTED, ledger.apply(2, grant("c", 400, 10, 1_000, 1)));
+    }
+
+    /** Guards against a repeated append that takes the amount twice, also after the release. */
+    @Test
+    void aRepeatedGrantCountsOnce() {
+      ledger.apply(0, grant("a", 600, 10, 1_000, 1));
+      assertEquals(BudgetVerdict.DUPLICATE, ledger.apply(1, grant("a", 600, 10, 1_000, 1)));
+      ledger.apply(2, new BudgetRecord.SliceReleased("r", TEAM, PERIOD, "a", 5));
+      assertEquals(BudgetVerdict.DUPLICATE, ledger.apply(3, grant("a", 600, 10, 1_000, 1)));
+      assertEquals(5, ledger.committedUnits(TEAM, PERIOD));
+    }
+
+    /** Guards against a reclaim that returns what a cut-off holder may still spend. */
+    @Test
+    void aReclaimReturnsOnlyWhatWasNotOpened() {
+      ledger.apply(0, grant("a", 600, 10, 1_000, 1));
+      ledger.apply(1, new BudgetRecord.SliceOpened("o", TEAM, PERIOD, "a", 70));
+      ledger.apply(2, new BudgetRecord.SliceReclaimed("c", TEAM, PERIOD, "a"));
+      assertEquals(70, ledger.committedUnits(TEAM, PERIOD));
+      BudgetRecord late = new BudgetRecord.SliceOpened("p", TEAM, PERIOD, "a", 600);
+      assertEquals(BudgetVerdict.SLICE_ENDED, ledger.apply(3, late));
+      BudgetRecord back = new BudgetRecord.SliceReleased("r", TEAM, PERIOD, "a", 30);
+      assertEquals(BudgetVerdict.ACCEPTED, ledger.apply(4, back));
+      assertEquals(30, ledger.committedUnits(TEAM, PERIOD));
+    }
+
+    /** Guards against a VM with old settings that raises a budget which was lowered. */
+    @Test
+    void aGrantWithOlderSettingsIsRefused() {
+      ledger.apply(0, grant("a", 10, 10, 100, 2));
+      assertEquals(BudgetVerdict.STALE_SETTINGS, ledger.apply(1, grant("b", 500, 1, 1_000, 1)));
+    }
+
+    /** Guards against a late grant that opens the account of a period long past. */
+    @Test
+    void anOldPeriodIsClosedByLaterOnes() {
+      for (int i = 0; i <= BudgetLedger.OPEN_PERIODS; i++) {
+        BudgetPeriod period = new BudgetPeriod(i, PERIOD_MS);
+        ledger.apply(
+            i, new BudgetRecord.SliceGranted("g" + i, TEAM, period, "g" + i, VM, 1, 1, 10, 1, 1));
+      }
+      BudgetRecord late = grant("late", 10, 10, 10, 1);
+      assertEquals(BudgetVerdict.PERIOD_CLOSED, ledger.apply(10, late));
+    }
+
+    /** Guards against amounts whose sum overflows and then seems to fit. */
+    @Test
+    void hugeAmountsDoNotOverflow() {
+      ledger.apply(0, grant("a", 600, 10, 1_000, 1));
+      assertEquals(
+          BudgetVerdict.BUDGET_EXCEEDED, ledger.apply(1, grant("b", Long.MAX_VALUE, 1, 1_000, 1)));
+      assertEquals(
+          BudgetVerdict.MALFORMED, ledger.apply(2, grant("c", Long.MIN_VALUE, 0, 1_000, 1)));
+    }
+  }
+
+  @Nested
+  final class Reserving {
+
+    /** Guards against a call that starts before the log opened what it may cost. */
+    @Test
+    void nothingIsReservedBeforeTheGrantIsReadBack() {
+      assertEquals(Optional.empty(), holder.reserve(TEAM, 10, nowMs));
+      List<BudgetRecord> records = holder.poll(nowMs);
+      assertEquals(1, records.size());
+      assertEquals(Optional.empty(), holder.reserve(TEAM, 10, nowMs));
+      assertEquals(List.of(), holder.poll(nowMs + 1));
+      assertEquals(records, holder.poll(nowMs + BudgetHolderLimits.defaults().resendMs()));
+    }
+
+    /** Guards against two calls that reserve the same units. */
+    @Test
+    void reservedUnitsAreNotReservedAgain() {
+      reserve(1_000);
+      assertEquals(Optional.empty(), holder.reserve(TEAM, 1, nowMs));
+      assertEquals(BudgetAvailability.EXHAUSTED, holder.availability(TEAM, 1, nowMs));
+    }
+
+    /** Guards against a second settlement that returns units twice. */
+    @Test
+    void aReservationIsSettledOnce() {
+      Reservation made = reserve(1_000);
+      holder.settle(made, 400);
+      holder.settle(made, 0);
+      assertEquals(400, holder.figures().get(0).spentUnits());
+      assertEquals(BudgetAvailability.READY, holder.availability(TEAM, 600, nowMs));
+      assertEquals(BudgetAvailability.EXHAUSTED, holder.availability(TEAM, 601, nowMs));
+    }
+
+    /** Guards against a call above the usual slice that never gets one. */
+    @Test
+    void aCallMayCostMoreThanTheSlicesSoFar() {
+      holder.settle(reserve(5), 5);
+      assertEquals(900, reserve(900).units());
+    }
+
+    /** Guards against a large call that no longer fits and keeps small ones waiting forever. */
+    @Test
+    void aLargeWaitingCallDoesNotHoldUpSmallOnes() {
+      holder.settle(reserve(500), 500);
+      assertEquals(Optional.empty(), holder.reserve(TEAM, 600, nowMs));
+      assertEquals(20, reserve(20).units());
+    }
+
+    /** Guards against units of one period that are spent in the next one. */
+    @Test
+    void eachPeriodHasItsOwnAccount() {
+      holder.settle(reserve(1_000), 1_000);
+      nowMs += PERIOD_MS;
+      assertEquals(new BudgetPeriod(1, PERIOD_MS), reserve(1_000).period());
+    }
+
+    /** Guards against an overrun that goes unnoticed and leaves units that were spent. */
+    @Test
+    void unitsAboveTheReservationAreChargedAndCounted() {
+      Reservation made = reserve(10);
+      holder.settle(made, 15);
+      assertEquals(5, holder.figures().get(0).overrunUnits());
+    }
+  }
+
+  @Nested
+  final class Releasing {
+
+    /** Guards against an idle VM that keeps budget from the others. */
+    @Test
+    void anIdleHolderReleasesItsSlices() {
+      holder.settle(reserve(10), 4);
+      nowMs += BudgetHolderLimits.defaults().idleMs();
+      roundTrip(holder);
+      assertEquals(4, ledger.committedUnits(TEAM, PERIOD));
+    }
+
+    /** Guards against a stop that gives slices back while a call still spends from them. */
+    @Test
+    void aDrainingHolderReleasesOnceItsCallsEnded() {
+      Reservation made = reserve(10);
+      holder.drain();
+      roundTrip(holder);
+      assertTrue(ledger.committedUnits(TEAM, PERIOD) >= 10);
+      holder.settle(made, 3);
+      roundTrip(holder);
+      assertEquals(3, ledger.committedUnits(TEAM, PERIOD));
+      assertTrue(holder.drained());
+    }
+
+    /** Guards against slices of an earlier incarnation that nobody gives back. */
+    @Test
+    void aRestartedVmReclaimsItsOldSlices() {
+      reserve(10);
+      SliceReclaimer reclaimer = new SliceReclaimer(VM, "vm-1/2", 2_000, 300);
+      List<BudgetRecord> records = reclaimer.poll(ledger, List.of(VM), nowMs);
+      assertEquals(1, records.size());
+      assertEquals(
+          List.of(), new SliceReclaimer(VM, "vm-1/1", 2_000, 300).poll(ledger, List.of(VM), nowMs));
+    }
+  }
+
+  @Nested
+  final class Codec {
+
+    /** Guards against fields that are swapped or lost between VMs. */
+    @Test
+    void recordsSurviveTheRoundTripAndCutOnesAreReported() throws BudgetFormatException {
+      reserve(10);
+      written.add(new BudgetRecord.SliceOpened("o", TEAM, PERIOD, "s", 7));
+      written.add(new BudgetRecord.SliceReleased("r", TEAM, PERIOD, "s", 6));
+      written.add(new BudgetRecord.SliceReclaimed("c", TEAM, PERIOD, "s"));
+      written.add(ledger.snapshot(TEAM, PERIOD, "x", 9).orElseThrow());
+      for (BudgetRecord each : written) {
+        byte[] whole = BudgetCodec.encode(each).toArray();
+        assertEquals(each, BudgetCodec.decode(Bytes.copyOf(whole)));
+        for (int length = 0; length < whole.length; length++) {
+          Bytes cut = Bytes.copyOf(Arrays.copyOf(whole, length));
+          assertThrows(BudgetFormatException.class, () -> BudgetCodec.decode(cut));
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/budget/BudgetWorld.java
@@ -0,0 +1,184 @@
+package io.magnoliaroute.core.budget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.config.SimulatedLog;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.settings.BudgetSettings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** Several VMs with one team, a log with faults, and the count of what calls really spent. */
+final class BudgetWorld {
+
+  static final TeamId TEAM = new TeamId("alpha");
+  static final long RETENTION_MS = 64_000;
+
+  final Random random;
+  final SimulatedLog<BudgetRecord> log;
+  final long periodMs;
+  final List<BudgetVm> vms = new ArrayList<>();
+  final Map<String, Long> spentBySlice = new HashMap<>();
+  final Map<String, Long> peakReservedBySlice = new HashMap<>();
+  final int maxCallUnits;
+  long nowMs = 1_000;
+  BudgetSettings settings;
+  int calls;
+  int crashes;
+  int readsPastRetention;
+
+  private final BudgetLedger reference = new BudgetLedger();
+  private final Map<BudgetPeriod, Long> spentByPeriod = new HashMap<>();
+  private final Map<BudgetPeriod, Long> highestBudget = new HashMap<>();
+  private long settingsVersion = 1;
+  private int referenceEnd;
+  private long nextOutageMs = 20_000;
+
+  BudgetWorld(Random random, long periodMs) {
+    this.random = random;
+    this.periodMs = periodMs;
+    this.log = new SimulatedLog<>(random, RETENTION_MS, RETENTION_MS / 6);
+    this.maxCallUnits = 1 + random.nextInt(200);
+    int units = 1 + random.nextInt(random.nextBoolean() ? 1_000 : 100_000);
+    this.settings = new BudgetSettings(units, periodMs);
+    int count = 2 + random.nextInt(4);
+    for (int i = 0; i < count; i++) {
+      vms.add(new BudgetVm(this, new VmId("vm-" + i), i == 0));
+    }
+  }
+
+  void stepWithFaults() {
+    step(true);
+    if (nowMs > nextOutageMs && random.nextInt(10) == 0) {
+      log.failUntil(nowMs + random.nextInt((int) RETENTION_MS / 8));
+      nextOutageMs = nowMs + RETENTION_MS / 2;
+    }
+    if (random.nextInt(60) == 0) {
+      settings =
+          new BudgetSettings(
+              settings.unitsPerPeriod() + random.nextInt((int) settings.unitsPerPeriod()),
+              periodMs);
+      settingsVersion++;
+    }
+  }
+
+  private void step(boolean faults) {
+    nowMs += random.nextInt(1_000);
+    highestBudget.merge(period(), settings.unitsPerPeriod(), Math::max);
+    log.advanceTo(nowMs);
+    for (; referenceEnd < log.end(); referenceEnd++) {
+      reference.apply(referenceEnd, log.get(referenceEnd));
+    }
+    for (BudgetVm vm : vms) {
+      vm.step(faults);
+    }
+  }
+
+  /**
+   * Ends the faults and waits until calls have ended, dead slices are reclaimed and others idle.
+   */
+  void quiet() {
+    for (int i = 0; i < 120; i++) {
+      step(false);
+    }
+  }
+
+  BudgetPeriod period() {
+    return BudgetPeriod.at(nowMs, periodMs);
+  }
+
+  long settingsVersion() {
+    return settingsVersion;
+  }
+
+  long budgetUnits() {
+    return settings.unitsPerPeriod();
+  }
+
+  long spentUnits() {
+    return spentByPeriod.getOrDefault(period(), 0L);
+  }
+
+  /** Counts what a call spent, in the order in which the holder charges the parts. */
+  void spent(Reservation reservation, long units) {
+    long rest = units;
+    for (Reservation.Part part : reservation.parts()) {
+      long charged = Math.min(rest, part.units());
+      spentBySlice.merge(part.slice(), charged, Long::sum);
+      rest -= charged;
+    }
+    long total = spentByPeriod.merge(reservation.period(), units, Long::sum);
+    long budget = highestBudget.get(reservation.period());
+    assertTrue(total <= budget, () -> "spent " + total + " of " + budget + " (G3)");
+  }
+
+  void checkLedgersAgree() {
+    for (BudgetVm vm : vms) {
+      assertEquals(
+          reference.committedUnits(TEAM, period()),
+          vm.ledger.committedUnits(TEAM, period()),
+          () -> "committed units of " + vm.id);
+    }
+  }
+
+  /**
+   * The units that nobody can spend after quiet, and their bound.
+   *
+   * <p>A crashed holder strands what it opened and did not spend: at most the reservations of its
+   * calls at their peak and twice the headroom, which is the largest call or a quarter of the
+   * slice.
+   */
+  record Stranded(long units, long boundUnits, int slices) {}
+
+  Stranded stranded() {
+    long units = 0;
+    long bound = 0;
+    int slices = 0;
+    BudgetRecord.AccountSnapshot account =
+        reference.snapshot(TEAM, period(), "check", nowMs).orElse(null);
+    for (SliceState slice : account == null ? List.<SliceState>of() : account.slices()) {
+      if (slice.phase() == SlicePhase.LIVE) {
+        assertTrue(holds(slice), () -> "slice of a dead holder is live: " + slice);
+      }
+      if (slice.phase() != SlicePhase.RECLAIMED) {
+        continue;
+      }
+      long headroom = Math.max(maxCallUnits, HolderSlice.headroomUnits(slice.amountUnits()));
+      long peak = peakReservedBySlice.getOrDefault(slice.slice(), 0L);
+      units += slice.openedUnits() - spentBySlice.getOrDefault(slice.slice(), 0L);
+      bound += Math.min(slice.openedUnits(), peak + 2 * headroom);
+      slices++;
+    }
+    return new Stranded(units, bound, slices);
+  }
+
+  private boolean holds(SliceState slice) {
+    return vms.stream().anyMatch(vm -> slice.slice().startsWith(vm.writer() + "/"));
+  }
+
+  /** Lets one VM spend all it can get, in ever smaller calls; returns how long it took. */
+  long spendTheRest() {
+    long startMs = nowMs;
+    BudgetVm vm = vms.get(0);
+    long units = maxCallUnits;
+    while (nowMs - startMs < 600_000) {
+      BudgetAvailability availability = vm.holder.availability(TEAM, units, nowMs);
+      if (availability == BudgetAvailability.EXHAUSTED
+          || availability == BudgetAvailability.NEVER) {
+        if (units == 1) {
+          return nowMs - startMs;
+        }
+        units = units / 2;
+        continue;
+      }
+      vm.spendAll(units);
+      step(false);
+    }
+    return nowMs - startMs;
+  }
+}
