Add the command-line tool

Cause: operators could not check, publish or show settings, nor see or run programs. Change: config check, publish, show and history; status; teams; programs list, show and cancel; endpoints list, drain and resume; run. Exit codes come from the outcome of the reply, never from its status; a lost answer to a change is unknown. A test of the budget states that a cut-off holder spends what was opened and no more.

--- a/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/CliMain.java
+++ b/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/CliMain.java
@@ -7,6 +7,6 @@
 
   /** Runs the program with the given arguments. */
   public static void main(String[] args) {
-    System.exit(2);
+    System.exit(CommandLineTool.run(args, System.out, System.err, System.getenv()).code());
   }
 }
--- /dev/null
+++ b/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/ProgramsShowCommand.java
@@ -0,0 +1,22 @@
+package io.magnoliaroute.cli;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.MaxOccurrences;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+
+/** Shows one program. */
+@Command(name = "show", description = "Shows one program")
+public final class ProgramsShowCommand extends ServerCommand {
+
+  @Required
+  @MaxOccurrences(occurrences = 1)
+  @Arguments(title = "program", description = "the id of the program")
+  String program;
+
+  @Override
+  ExitCode run(Terminal terminal, ApiClient client) throws CommandFailure {
+    terminal.printJson(get(client, "/v1/programs/" + ApiClient.segment(program)));
+    return ExitCode.OK;
+  }
+}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/Section.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/settings/Section.java
@@ -51,14 +51,6 @@
             });
   }
 
-  int line() {
-    return mapping.line();
-  }
-
-  String path() {
-    return path;
-  }
-
   String pathOf(String key) {
     return path.isEmpty() ? key : path + "/" + key;
   }
@@ -72,6 +64,14 @@
     return mapping.entries().containsKey(key);
   }
 
+  int size() {
+    return mapping.entries().size();
+  }
+
+  void errorHere(String message) {
+    findings.error(mapping.line(), path, message);
+  }
+
   void error(String key, String message) {
     findings.error(lineOf(key), pathOf(key), message);
   }
@@ -197,6 +197,18 @@
     return node(key).flatMap(node -> of(findings, pathOf(key), node, function));
   }
 
+  /** Returns an optional mapping as plain values. */
+  Map<String, Object> plainMap(String key) {
+    Optional<YamlNode> node = node(key);
+    if (node.isPresent() && node.get() instanceof YamlNode.Mapping inner) {
+      return PlainValues.map(inner);
+    }
+    node.ifPresent(
+        wrong ->
+            findings.error(wrong.line(), pathOf(key), "must be a mapping, is " + describe(wrong)));
+    return Map.of();
+  }
+
   /** Returns what the function makes of a required mapping. */
   <T> Optional<T> requireSection(String key, Function<Section, T> function) {
     return required(key).flatMap(node -> of(findings, pathOf(key), node, function));
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/budget/BudgetHolderTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/budget/BudgetHolderTest.java
@@ -135,6 +135,20 @@
       assertEquals(records, holder.poll(nowMs + BudgetHolderLimits.defaults().resendMs()));
     }
 
+    /** Guards against a cut-off VM that spends what a reclaim has given to others (G3). */
+    @Test
+    void aCutOffHolderSpendsWhatWasOpenedAndNoMore() {
+      BudgetRecord.SliceGranted slice = grant("vm-1/1/7", 1_000, 200, 1_000, 1);
+      holder.applied(slice, ledger.apply(offset++, slice), nowMs);
+      BudgetRecord reclaim = new BudgetRecord.SliceReclaimed("c", TEAM, PERIOD, "vm-1/1/7");
+      ledger.apply(offset++, reclaim);
+      BudgetRecord.SliceGranted other = grant("vm-2/1/1", 800, 800, 1_000, 1);
+      assertEquals(BudgetVerdict.ACCEPTED, ledger.apply(offset++, other));
+      assertEquals(Optional.empty(), holder.reserve(TEAM, 201, nowMs));
+      assertEquals(200, holder.reserve(TEAM, 200, nowMs).orElseThrow().units());
+      assertEquals(Optional.empty(), holder.reserve(TEAM, 1, nowMs));
+    }
+
     /** Guards against two calls that reserve the same units. */
     @Test
     void reservedUnitsAreNotReservedAgain() {
