Add stand-ins for the engine, the service and the platform

The daemon's tests need outside systems whose faults a test can switch. KV export and import are not served yet.

--- /dev/null
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a model engine in the chat-completions shape. */
+package io.magnoliaroute.standin.engine;
--- /dev/null
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/platform/StandinWeightStore.java
@@ -0,0 +1,63 @@
+package io.magnoliaroute.standin.platform;
+
+import io.magnoliaroute.standin.StandinServer;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.time.InstantSource;
+
+/** The weight store: answers one fetch for each interval and refuses the rest with status 429. */
+public final class StandinWeightStore {
+
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+
+  private final InstantSource clock;
+  private final long intervalMs;
+  private long nextAllowedMs = Long.MIN_VALUE;
+  private boolean outage;
+  private int fetches;
+
+  /** Makes a store that allows one fetch for each {@code intervalMs}. */
+  public StandinWeightStore(InstantSource clock, long intervalMs) {
+    this.clock = clock;
+    this.intervalMs = intervalMs;
+  }
+
+  /** Starts the store on a loopback port. */
+  public Future<StandinServer> start(Vertx vertx) {
+    Router router = Router.router(vertx);
+    router.get("/weights/:model").handler(this::fetch);
+    return StandinServer.listen(vertx, router);
+  }
+
+  /** Starts or ends an outage, during which every fetch is refused. */
+  public synchronized void setOutage(boolean outage) {
+    this.outage = outage;
+  }
+
+  /** Returns the fetches that were answered. */
+  public synchronized int fetches() {
+    return fetches;
+  }
+
+  private void fetch(RoutingContext context) {
+    int status = admit(clock.millis());
+    context.response().setStatusCode(status);
+    context.json(new JsonObject().put("model", context.pathParam("model")));
+  }
+
+  private synchronized int admit(long nowMs) {
+    if (outage) {
+      return UNAVAILABLE;
+    }
+    if (nowMs < nextAllowedMs) {
+      return TOO_MANY_REQUESTS;
+    }
+    nextAllowedMs = nowMs + intervalMs;
+    fetches++;
+    return 200;
+  }
+}
