Add the peer messages, their codec, framing and the handshake

VMs need typed messages with bounded frames and a proof of the shared secret. Messages are sealed records encoded as a type byte and a MessagePack map; a pass over each frame refuses announced lengths that the frame does not hold, because the mapper allocates them first.

--- /dev/null
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/Handshake.java
@@ -0,0 +1,113 @@
+package io.magnoliaroute.wire;
+
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.VmId;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Proves both ways that the sides of a connection know the shared secret.
+ *
+ * <p>The connecting side sends {@link PeerMessage.Hello} with a nonce; the accepting side answers
+ * with {@link PeerMessage.Challenge}, its own nonce and a proof over both; the connecting side ends
+ * with {@link PeerMessage.Proof}. The proofs differ in their role label, so that one side's proof
+ * cannot be sent back to it.
+ */
+public final class Handshake {
+
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final String ACCEPTING = "accepting";
+  private static final String CONNECTING = "connecting";
+  private static final int NONCE_BYTES = 32;
+  private static final int MIN_SECRET_BYTES = 16;
+
+  private final VmId self;
+  private final SecretKeySpec key;
+  private final Bytes nonce;
+
+  /** Starts one handshake with a fresh nonce. */
+  public Handshake(VmId self, Bytes secret, SecureRandom random) {
+    if (secret.sizeBytes() < MIN_SECRET_BYTES) {
+      throw new IllegalArgumentException(
+          "the peer secret must have at least "
+              + MIN_SECRET_BYTES
+              + " bytes, had "
+              + secret.sizeBytes());
+    }
+    this.self = self;
+    this.key = new SecretKeySpec(secret.toArray(), ALGORITHM);
+    byte[] drawn = new byte[NONCE_BYTES];
+    random.nextBytes(drawn);
+    this.nonce = Bytes.copyOf(drawn);
+  }
+
+  /** Returns the first message of the connecting side. */
+  public PeerMessage.Hello hello() {
+    return new PeerMessage.Hello(self, nonce);
+  }
+
+  /** Returns the accepting side's answer. */
+  public PeerMessage.Challenge challenge(PeerMessage.Hello hello) throws WireException {
+    requireNonce(hello.nonce());
+    return new PeerMessage.Challenge(
+        self, nonce, proof(ACCEPTING, hello.vm(), self, hello.nonce(), nonce));
+  }
+
+  /** Checks the accepting side's proof and returns the connecting side's. */
+  public PeerMessage.Proof prove(PeerMessage.Challenge challenge) throws WireException {
+    requireNonce(challenge.nonce());
+    requireEqual(
+        proof(ACCEPTING, self, challenge.vm(), nonce, challenge.nonce()), challenge.proof());
+    return new PeerMessage.Proof(proof(CONNECTING, self, challenge.vm(), nonce, challenge.nonce()));
+  }
+
+  /** Checks the connecting side's proof. */
+  public void verify(PeerMessage.Hello hello, PeerMessage.Proof proof) throws WireException {
+    requireEqual(proof(CONNECTING, hello.vm(), self, hello.nonce(), nonce), proof.proof());
+  }
+
+  private Bytes proof(
+      String role, VmId connecting, VmId accepting, Bytes connectingNonce, Bytes acceptingNonce) {
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(key);
+      update(mac, Bytes.ofUtf8(role));
+      update(mac, Bytes.ofUtf8(connecting.value()));
+      update(mac, Bytes.ofUtf8(accepting.value()));
+      update(mac, connectingNonce);
+      update(mac, acceptingNonce);
+      return Bytes.copyOf(mac.doFinal());
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
+    }
+  }
+
+  // The length before each part keeps ("ab", "c") and ("a", "bc") apart.
+  private static void update(Mac mac, Bytes part) {
+    mac.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, part.sizeBytes()));
+    mac.update(part.toArray());
+  }
+
+  private static void requireNonce(Bytes received) throws WireException {
+    if (received == null || received.sizeBytes() != NONCE_BYTES) {
+      throw new WireException(
+          WireException.Kind.AUTHENTICATION, "the nonce must have " + NONCE_BYTES + " bytes");
+    }
+  }
+
+  private static void requireEqual(Bytes expected, Bytes received) throws WireException {
+    if (received == null || !MessageDigest.isEqual(expected.toArray(), received.toArray())) {
+      throw new WireException(WireException.Kind.AUTHENTICATION, "the proof does not match");
+    }
+  }
+
+  /** Returns a secret from its text in the settings. */
+  public static Bytes secret(String text) {
+    return Bytes.copyOf(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageCodec.java
@@ -0,0 +1,118 @@
+package io.magnoliaroute.wire;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+import io.magnoliaroute.core.membership.MembershipMessage;
+import io.magnoliaroute.core.model.Bytes;
+import java.io.IOException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Encodes messages as a type byte and a MessagePack map, and decodes them.
+ *
+ * <p>Unknown fields are skipped, so that a later release may add fields.
+ */
+public final class MessageCodec {
+
+  private final ObjectMapper mapper;
+
+  /** Makes a codec; it is safe for use by several threads. */
+  public MessageCodec() {
+    SimpleModule module = new SimpleModule();
+    module.addSerializer(Bytes.class, new BytesSerializer());
+    module.addDeserializer(Bytes.class, new BytesDeserializer());
+    module.setMixInAnnotation(MembershipMessage.class, MembershipTypes.class);
+    mapper = new ObjectMapper(new MessagePackFactory());
+    mapper.registerModule(module);
+    mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+  }
+
+  /** Returns the encoded message without its length prefix. */
+  public byte[] encode(PeerMessage message) {
+    try {
+      byte[] body = mapper.writeValueAsBytes(message);
+      byte[] frame = new byte[body.length + 1];
+      frame[0] = (byte) MessageType.of(message).number();
+      System.arraycopy(body, 0, frame, 1, body.length);
+      return frame;
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding into memory failed: " + message.getClass(), e);
+    }
+  }
+
+  /** Returns the decoded message. */
+  public PeerMessage decode(byte[] frame) throws WireException {
+    if (frame.length < 2 || frame[0] < 0) {
+      throw new WireException(WireException.Kind.MALFORMED_BODY, "no message type");
+    }
+    MessageType type = MessageType.ofNumber(frame[0]);
+    try {
+      requireComplete(frame);
+      return mapper.readValue(frame, 1, frame.length - 1, type.recordClass());
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new WireException(
+          WireException.Kind.MALFORMED_BODY, type + " is malformed: " + e.getMessage(), e);
+    }
+  }
+
+  // The mapper takes memory for the length that a value announces before it reads the value. This
+  // pass refuses a value that announces more than the frame holds.
+  private static void requireComplete(byte[] frame) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame, 1, frame.length - 1)) {
+      unpacker.skipValue();
+      if (unpacker.hasNext()) {
+        throw new IOException("bytes after the message");
+      }
+    }
+  }
+
+  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+  @JsonSubTypes({
+    @JsonSubTypes.Type(value = MembershipMessage.Ping.class, name = "ping"),
+    @JsonSubTypes.Type(value = MembershipMessage.PingReq.class, name = "ping_req"),
+    @JsonSubTypes.Type(value = MembershipMessage.Ack.class, name = "ack")
+  })
+  private interface MembershipTypes {}
+
+  private static final class BytesSerializer extends StdSerializer<Bytes> {
+
+    private static final long serialVersionUID = 1L;
+
+    BytesSerializer() {
+      super(Bytes.class);
+    }
+
+    @Override
+    public void serialize(Bytes value, JsonGenerator generator, SerializerProvider provider)
+        throws IOException {
+      generator.writeBinary(value.toArray());
+    }
+  }
+
+  private static final class BytesDeserializer extends StdDeserializer<Bytes> {
+
+    private static final long serialVersionUID = 1L;
+
+    BytesDeserializer() {
+      super(Bytes.class);
+    }
+
+    @Override
+    public Bytes deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+      return Bytes.copyOf(parser.getBinaryValue());
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -0,0 +1,129 @@
+package io.magnoliaroute.wire;
+
+import io.magnoliaroute.core.membership.MembershipMessage;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.schedule.CallObservation;
+import io.magnoliaroute.core.schedule.CallResult;
+import io.magnoliaroute.core.schedule.WaitingCall;
+import java.util.List;
+
+/** A message between two VMs. Requests and answers are matched by program, turn and attempt. */
+public sealed interface PeerMessage {
+
+  /** Opens the handshake from the connecting side. */
+  record Hello(VmId vm, Bytes nonce) implements PeerMessage {}
+
+  /** Answers {@link Hello} with the other nonce and the accepting side's proof of the secret. */
+  record Challenge(VmId vm, Bytes nonce, Bytes proof) implements PeerMessage {}
+
+  /** Ends the handshake with the connecting side's proof of the secret. */
+  record Proof(Bytes proof) implements PeerMessage {}
+
+  /** A probe or its answer. */
+  record Membership(MembershipMessage message) implements PeerMessage {}
+
+  /**
+   * Asks for what the receiver has of the settings.
+   *
+   * @param request matches the answer; unique for the sender
+   * @param summary what the sender has, in the form of {@code core.config}
+   */
+  record ConfigPull(long request, Bytes summary) implements PeerMessage {}
+
+  /**
+   * Carries settings branches.
+   *
+   * @param request the request that is answered; 0 where the sender spreads a change unasked
+   * @param branches the branches, in the form of {@code core.config}
+   */
+  record ConfigPush(long request, Bytes branches) implements PeerMessage {}
+
+  /** Asks the owner of the group for a slot. */
+  record SlotRequest(String group, WaitingCall call) implements PeerMessage {}
+
+  /** Grants a slot. */
+  record SlotGrant(String group, io.magnoliaroute.core.schedule.SlotGrant grant)
+      implements PeerMessage {}
+
+  /** Refuses a slot; the call has not run. */
+  record SlotRefusal(String group, CallId call, String reason, long retryAfterMs)
+      implements PeerMessage {}
+
+  /** Tells the owner what was seen of a running call, which also extends the grant. */
+  record SlotProgress(String group, CallId call, CallObservation seen) implements PeerMessage {}
+
+  /** Gives a slot back with the observed times. */
+  record SlotRelease(String group, CallId call, CallResult result) implements PeerMessage {}
+
+  /** Takes back a request whose caller left. */
+  record SlotCancel(String group, CallId call) implements PeerMessage {}
+
+  /** Orders the holder of a grant to cancel its stream, so that an urgent call gets the slot. */
+  record SlotPreempt(String group, CallId call, long grantId) implements PeerMessage {}
+
+  /** Tells a new owner of the group of a grant that is still held. */
+  record SlotReport(String group, WaitingCall call, io.magnoliaroute.core.schedule.SlotGrant grant)
+      implements PeerMessage {}
+
+  /**
+   * Forwards a caller's request to the partition owner.
+   *
+   * @param call identifies the request on this connection; answers carry it
+   * @param kind the operation, see {@code docs/interfaces.md}
+   * @param team the team that the caller was authenticated for
+   * @param forwards how often the request was forwarded before; bounds loops between views
+   * @param fields header fields of the request that matter to the operation
+   * @param body the request body
+   */
+  record ProgramOpen(
+      CallId call, String kind, TeamId team, int forwards, List<HeaderField> fields, Bytes body)
+      implements PeerMessage {
+
+    /** Copies the fields. */
+    public ProgramOpen {
+      fields = List.copyOf(fields);
+    }
+  }
+
+  /** Starts the answer to a forwarded request. */
+  record ProgramHead(CallId call, int status, List<HeaderField> fields) implements PeerMessage {
+
+    /** Copies the fields. */
+    public ProgramHead {
+      fields = List.copyOf(fields);
+    }
+  }
+
+  /** Carries a part of the answer's body. */
+  record ProgramChunk(CallId call, Bytes content) implements PeerMessage {}
+
+  /** Ends the answer. */
+  record ProgramClose(CallId call) implements PeerMessage {}
+
+  /** Takes back a forwarded request whose caller left. */
+  record ProgramCancel(CallId call) implements PeerMessage {}
+
+  /** Lets the sender of an answer send that many further bytes. */
+  record ProgramCredit(CallId call, int bytes) implements PeerMessage {}
+
+  /** Tells the owner of the group that a program ended, so that its memory is released. */
+  record CacheRelease(String group, ProgramId program) implements PeerMessage {}
+
+  /**
+   * Copies an unlogged turn to one peer.
+   *
+   * @param partition the partition of the program
+   * @param program the program
+   * @param turn the number of the turn
+   * @param content the turn's content
+   */
+  record HistoryMirror(int partition, ProgramId program, int turn, Bytes content)
+      implements PeerMessage {}
+
+  /** One header field. */
+  record HeaderField(String name, String value) {}
+}
--- /dev/null
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/FrameReaderTest.java
@@ -0,0 +1,47 @@
+package io.magnoliaroute.wire;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Frames are cut at their length, whatever pieces the bytes arrive in. */
+final class FrameReaderTest {
+
+  private final List<byte[]> frames = new ArrayList<>();
+  private final List<WireException> errors = new ArrayList<>();
+  private final FrameReader reader = new FrameReader(8, frames::add, errors::add);
+
+  /** Guards against frames that are lost or merged where reads do not match frames. */
+  @Test
+  void framesAreWholeWhenBytesArriveOneByOne() {
+    Buffer both =
+        FrameReader.frame(new byte[] {1, 2}).appendBuffer(FrameReader.frame(new byte[] {3}));
+    for (int i = 0; i < both.length(); i++) {
+      reader.handle(both.getBuffer(i, i + 1));
+    }
+    assertEquals(2, frames.size());
+    assertArrayEquals(new byte[] {1, 2}, frames.get(0));
+    assertArrayEquals(new byte[] {3}, frames.get(1));
+  }
+
+  /** Guards against a peer that makes this VM buffer without bound. */
+  @Test
+  void aFrameAboveTheBoundIsReportedOnceAndNothingFollows() {
+    reader.handle(Buffer.buffer().appendInt(9));
+    reader.handle(FrameReader.frame(new byte[] {1}));
+    assertEquals(1, errors.size());
+    assertEquals(WireException.Kind.FRAME_LENGTH, errors.get(0).kind());
+    assertEquals(0, frames.size());
+  }
+
+  /** Guards against a negative length being taken for a short frame. */
+  @Test
+  void aNegativeLengthIsReported() {
+    reader.handle(Buffer.buffer().appendInt(-1));
+    assertEquals(1, errors.size());
+  }
+}
--- /dev/null
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/HandshakeTest.java
@@ -0,0 +1,58 @@
+package io.magnoliaroute.wire;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.VmId;
+import java.security.SecureRandom;
+import org.junit.jupiter.api.Test;
+
+/** Only sides that know the secret get through the handshake. */
+final class HandshakeTest {
+
+  private static final Bytes SECRET = Handshake.secret("a shared secret of some length");
+  private static final Bytes OTHER = Handshake.secret("some other secret of that length");
+
+  private final SecureRandom random = new SecureRandom();
+  private final Handshake connecting = new Handshake(new VmId("a"), SECRET, random);
+  private final Handshake accepting = new Handshake(new VmId("b"), SECRET, random);
+
+  /** Guards against sides with the same secret that refuse each other. */
+  @Test
+  void bothSidesAcceptTheSameSecret() throws WireException {
+    PeerMessage.Hello hello = connecting.hello();
+    PeerMessage.Proof proof = connecting.prove(accepting.challenge(hello));
+    assertDoesNotThrow(() -> accepting.verify(hello, proof));
+  }
+
+  /** Guards against a connecting side that reveals its proof to a side without the secret. */
+  @Test
+  void theConnectingSideRefusesAnAcceptingSideWithAnotherSecret() throws WireException {
+    Handshake stranger = new Handshake(new VmId("b"), OTHER, random);
+    PeerMessage.Challenge challenge = stranger.challenge(connecting.hello());
+    WireException refused = assertThrows(WireException.class, () -> connecting.prove(challenge));
+    assertEquals(WireException.Kind.AUTHENTICATION, refused.kind());
+  }
+
+  /** Guards against a proof that is reflected to the side that made it. */
+  @Test
+  void theAcceptingSidesOwnProofIsNotAccepted() throws WireException {
+    PeerMessage.Hello hello = connecting.hello();
+    PeerMessage.Challenge challenge = accepting.challenge(hello);
+    assertThrows(
+        WireException.class,
+        () -> accepting.verify(hello, new PeerMessage.Proof(challenge.proof())));
+  }
+
+  /** Guards against a recorded proof that is sent again on another connection. */
+  @Test
+  void aProofOfAnEarlierConnectionIsNotAccepted() throws WireException {
+    PeerMessage.Hello hello = connecting.hello();
+    PeerMessage.Proof recorded = connecting.prove(accepting.challenge(hello));
+    Handshake later = new Handshake(new VmId("b"), SECRET, random);
+    later.challenge(hello);
+    assertThrows(WireException.class, () -> later.verify(hello, recorded));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -0,0 +1,147 @@
+package io.magnoliaroute.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.magnoliaroute.core.membership.Gossip;
+import io.magnoliaroute.core.membership.MemberDelta;
+import io.magnoliaroute.core.membership.MemberInfo;
+import io.magnoliaroute.core.membership.MemberState;
+import io.magnoliaroute.core.membership.MembershipMessage;
+import io.magnoliaroute.core.membership.PeerAddress;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.DataCentreId;
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.RegionId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.schedule.CallEnding;
+import io.magnoliaroute.core.schedule.CallObservation;
+import io.magnoliaroute.core.schedule.CallResult;
+import io.magnoliaroute.core.schedule.SlotGrant;
+import io.magnoliaroute.core.schedule.WaitingCall;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Messages survive the wire, and no frame takes down the reader. */
+final class MessageCodecTest {
+
+  private static final CallId CALL = new CallId(new ProgramId("p1"), 3, 7);
+  private static final Bytes BYTES = Bytes.ofUtf8("content");
+  private static final VmId VM = new VmId("vm-1");
+
+  private final MessageCodec codec = new MessageCodec();
+
+  static Stream<PeerMessage> messages() {
+    MemberDelta delta =
+        new MemberDelta(
+            new MemberInfo(
+                VM,
+                new DataCentreId("natal"),
+                new RegionId("north"),
+                new PeerAddress("127.0.0.1", 7)),
+            4,
+            MemberState.SUSPECT);
+    Gossip gossip = new Gossip(delta, 9, -5, List.of(delta));
+    WaitingCall waiting =
+        WaitingCall.builder(CALL, new TeamId("team"), new DataCentreId("natal"))
+            .prompt(10, Map.of(new EndpointId("e1"), 5))
+            .build();
+    SlotGrant grant = new SlotGrant(CALL, new EndpointId("e1"), 5, 6, 7, true, false, true);
+    return Stream.of(
+        new PeerMessage.Hello(VM, BYTES),
+        new PeerMessage.Challenge(VM, BYTES, BYTES),
+        new PeerMessage.Proof(BYTES),
+        new PeerMessage.Membership(new MembershipMessage.Ping(1, true, gossip)),
+        new PeerMessage.Membership(new MembershipMessage.PingReq(2, VM, gossip)),
+        new PeerMessage.Membership(new MembershipMessage.Ack(3, gossip)),
+        new PeerMessage.ConfigPull(1, BYTES),
+        new PeerMessage.ConfigPush(1, BYTES),
+        new PeerMessage.SlotRequest("pool/0", waiting),
+        new PeerMessage.SlotGrant("pool/0", grant),
+        new PeerMessage.SlotRefusal("pool/0", CALL, "queue_full", 5),
+        new PeerMessage.SlotProgress("pool/0", CALL, new CallObservation(5, 1, 2, 3)),
+        new PeerMessage.SlotRelease(
+            "pool/0", CALL, new CallResult(5, CallEnding.COMPLETED, 1, 2, 3, 4)),
+        new PeerMessage.SlotCancel("pool/0", CALL),
+        new PeerMessage.SlotPreempt("pool/0", CALL, 5),
+        new PeerMessage.SlotReport("pool/0", waiting, grant),
+        new PeerMessage.ProgramOpen(
+            CALL,
+            "turn",
+            new TeamId("team"),
+            1,
+            List.of(new PeerMessage.HeaderField("a", "b")),
+            BYTES),
+        new PeerMessage.ProgramHead(CALL, 200, List.of(new PeerMessage.HeaderField("a", "b"))),
+        new PeerMessage.ProgramChunk(CALL, BYTES),
+        new PeerMessage.ProgramClose(CALL),
+        new PeerMessage.ProgramCancel(CALL),
+        new PeerMessage.ProgramCredit(CALL, 100),
+        new PeerMessage.CacheRelease("pool/0", CALL.program()),
+        new PeerMessage.HistoryMirror(3, CALL.program(), 4, BYTES));
+  }
+
+  /** Guards against a field that one side drops, for each message type. */
+  @ParameterizedTest
+  @MethodSource("messages")
+  void everyMessageIsDecodedAsItWasEncoded(PeerMessage message) throws WireException {
+    assertEquals(message, codec.decode(codec.encode(message)));
+  }
+
+  /** Guards against a new message type without a round trip in this test. */
+  @Test
+  void everyMessageTypeIsCovered() {
+    assertEquals(MessageType.values().length, messages().map(MessageType::of).distinct().count());
+  }
+
+  @Nested
+  final class WhenFramesAreDamaged {
+
+    /** Guards against an unchecked exception or a huge allocation from damaged input. */
+    @Test
+    void randomDamageIsEitherDecodedOrReportedAsTyped() {
+      long seed = 20_261_204;
+      System.out.println("MessageCodecTest seed " + seed);
+      Random random = new Random(seed);
+      List<PeerMessage> all = messages().toList();
+      int reported = 0;
+      for (int i = 0; i < 20_000; i++) {
+        byte[] frame = codec.encode(all.get(random.nextInt(all.size())));
+        for (int flips = 0; flips < 3; flips++) {
+          frame[random.nextInt(frame.length)] = (byte) random.nextInt();
+        }
+        try {
+          codec.decode(frame);
+        } catch (WireException e) {
+          reported++;
+        }
+      }
+      assertEquals(true, reported > 1_000, "reported " + reported);
+    }
+
+    /** Guards against memory being taken for a length that the frame does not hold. */
+    @Test
+    void anAnnouncedLengthBeyondTheFrameIsRefused() {
+      byte[] frame = {3, (byte) 0x81, (byte) 0xa1, 'p', (byte) 0xc6, 0x7f, -1, -1, -1};
+      WireException refused = assertThrows(WireException.class, () -> codec.decode(frame));
+      assertEquals(WireException.Kind.MALFORMED_BODY, refused.kind());
+    }
+
+    /** Guards against a type of a later release being taken for a known one. */
+    @Test
+    void anUnknownTypeIsRefused() {
+      WireException refused =
+          assertThrows(WireException.class, () -> codec.decode(new byte[] {99, (byte) 0x80}));
+      assertEquals(WireException.Kind.UNKNOWN_TYPE, refused.kind());
+    }
+  }
+}
