--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
@@ -0,0 +1,194 @@
+package io.magnoliaroute.daemon;
+
+import io.magnoliaroute.core.log.LogPort;
+import io.magnoliaroute.core.log.WriterId;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.settings.ProcessSettings;
+import io.magnoliaroute.daemon.engine.EngineClient;
+import io.magnoliaroute.daemon.engine.EngineMemoryClient;
+import io.magnoliaroute.daemon.engine.EngineTimeouts;
+import io.magnoliaroute.daemon.engine.ServiceClient;
+import io.magnoliaroute.daemon.http.Authenticator;
+import io.magnoliaroute.daemon.http.HttpFrontEnd;
+import io.magnoliaroute.daemon.http.ProgramIds;
+import io.magnoliaroute.daemon.lifecycle.Readiness;
+import io.magnoliaroute.daemon.lifecycle.StopReport;
+import io.magnoliaroute.daemon.lifecycle.StopSequence;
+import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+import io.magnoliaroute.daemon.platform.BudgetDesk;
+import io.magnoliaroute.daemon.platform.ConfigFollower;
+import io.magnoliaroute.daemon.platform.ControlFollower;
+import io.magnoliaroute.daemon.program.Partitions;
+import io.magnoliaroute.daemon.program.ProgramMemory;
+import io.magnoliaroute.daemon.program.ProgramService;
+import io.magnoliaroute.daemon.program.ProgramServices;
+import io.magnoliaroute.daemon.program.RetryGuard;
+import io.magnoliaroute.daemon.settings.SettingsBoard;
+import io.magnoliaroute.daemon.slot.DrainingEndpoints;
+import io.magnoliaroute.daemon.slot.EngineMemory;
+import io.magnoliaroute.daemon.slot.LocalSlots;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.security.SecureRandom;
+import java.time.InstantSource;
+
+/** One daemon: joins the parts, starts and stops them. */
+public final class Daemon {
+
+  private final Vertx vertx;
+  private final ProcessSettings process;
+  private final InstantSource clock;
+  private final SettingsBoard settings = new SettingsBoard();
+  private final Readiness readiness = new Readiness();
+  private final DaemonMetrics metrics = new DaemonMetrics();
+  private final DrainingEndpoints draining = new DrainingEndpoints();
+  private final RetryGuard retries = new RetryGuard();
+  private final ConfigFollower config;
+  private final ControlFollower control;
+  private final BudgetDesk budgets;
+  private final Partitions partitions;
+  private final LocalSlots slots;
+  private final EngineMemory engineMemory;
+  private final ProgramMemory memory = new ProgramMemory();
+  private final ProgramService programs;
+  private final HttpFrontEnd frontEnd;
+
+  /** Makes a daemon; nothing runs before {@link #start}. */
+  public Daemon(Vertx vertx, ProcessSettings process, LogPort log, InstantSource clock) {
+    this.vertx = vertx;
+    this.process = process;
+    this.clock = clock;
+    SecureRandom random = new SecureRandom();
+    WriterId writer = new WriterId(process.vm(), clock.millis());
+    config = new ConfigFollower(log, settings, metrics);
+    control = new ControlFollower(log, retries, draining, metrics);
+    budgets =
+        new BudgetDesk(
+            vertx, log, clock, process.vm(), writer.toString(), config::versionOf, metrics);
+    partitions =
+        new Partitions(
+            process.partitions(),
+            vertx,
+            log,
+            clock,
+            () -> writer,
+            settings.current().tree().limits(),
+            random);
+    slots = new LocalSlots(vertx, clock, settings, draining);
+    EngineTimeouts timeouts = EngineTimeouts.defaults();
+    engineMemory =
+        new EngineMemory(settings, new EngineMemoryClient(vertx, timeouts), metrics, pool -> true);
+    ProgramServices services =
+        new ProgramServices(
+            vertx,
+            clock,
+            random,
+            process.dataCentre(),
+            settings,
+            partitions,
+            slots,
+            new EngineClient(vertx, timeouts),
+            new ServiceClient(vertx, timeouts),
+            budgets,
+            retries,
+            control,
+            (partition, program) -> {},
+            memory,
+            metrics);
+    programs = new ProgramService(services, this::ended);
+    Authenticator authenticator = new Authenticator(process.operatorTokenHashes());
+    settings.listen(snapshot -> authenticator.settings(snapshot.tree()));
+    settings.listen(budgets::settings);
+    frontEnd = new HttpFrontEnd(frontEndParts(authenticator, random));
+  }
+
+  /** Listens and reads the settings; completes when callers can connect. */
+  public Future<Void> start(int eventLoops) {
+    metrics.gauge("requests_active", readiness::active);
+    metrics.gauge("unlogged_bytes", partitions::unloggedBytes);
+    metrics.gauge("pending_records", () -> partitions.pendingRecords(clock.millis()));
+    settings.listen(snapshot -> markReady());
+    config.start(vertx).onComplete(read -> markReady());
+    control.start(vertx);
+    vertx.setPeriodic(EngineMemory.LISTING_MS, timer -> engineMemory.poll());
+    return frontEnd.listen(process.httpListen(), eventLoops);
+  }
+
+  /** Returns the port that callers connect to. */
+  public int httpPort() {
+    return frontEnd.port();
+  }
+
+  /** Returns the counters and histograms. */
+  public DaemonMetrics metrics() {
+    return metrics;
+  }
+
+  /** Returns the phase and the requests that run. */
+  public Readiness readiness() {
+    return readiness;
+  }
+
+  /** Returns the hard limit of a planned stop. */
+  public long drainTimeoutMs() {
+    return settings.current().tree().limits().drainTimeoutMs();
+  }
+
+  /** Stops as planned. */
+  public Future<StopReport> stop() {
+    StopSequence.Steps steps =
+        new StopSequence.Steps(
+            () -> {},
+            () -> 0,
+            budgets::drain,
+            () -> partitions.pendingRecords(clock.millis()),
+            frontEnd::close,
+            drainTimeoutMs());
+    return new StopSequence(vertx, clock, readiness, steps).run();
+  }
+
+  private HttpFrontEnd.Parts frontEndParts(Authenticator authenticator, SecureRandom random) {
+    return new HttpFrontEnd.Parts(
+        vertx,
+        settings,
+        authenticator,
+        readiness,
+        metrics,
+        programs,
+        new ProgramIds(random, process.partitions()),
+        config,
+        control,
+        draining,
+        clock,
+        this::status);
+  }
+
+  private void markReady() {
+    if (config.hasSettings()) {
+      readiness.ready();
+    }
+  }
+
+  private void ended(ProgramId program, ProgramId root) {
+    engineMemory.ended(program);
+    memory.cachedEndpoints(program).forEach(each -> engineMemory.release(each, program));
+    if (program.equals(root)) {
+      slots.endProgram(root);
+    }
+  }
+
+  private JsonObject status() {
+    JsonObject waiting = new JsonObject();
+    slots.waitingCounts().forEach(waiting::put);
+    return new JsonObject()
+        .put("vm", process.vm().value())
+        .put("data_centre", process.dataCentre().value())
+        .put("region", process.region().value())
+        .put("phase", readiness.phase().name())
+        .put("requests_active", readiness.active())
+        .put("settings_version", settings.current().version())
+        .put("owned_partitions", partitions.owned().size())
+        .put("waiting_calls", waiting);
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
@@ -1,12 +1,134 @@
 package io.magnoliaroute.daemon;
 
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.core.settings.ParseResult;
+import io.magnoliaroute.core.settings.ProcessSettings;
+import io.magnoliaroute.core.settings.ProcessSettingsParser;
+import io.magnoliaroute.daemon.lifecycle.SteadyClock;
+import io.magnoliaroute.daemon.lifecycle.StopReport;
+import io.magnoliaroute.daemon.platform.HttpLogClient;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.jboss.logging.Logger;
+
 /** Starts the daemon. */
 public final class DaemonMain {
 
+  private static final int EXIT_FAILED = 1;
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_FINDINGS = 3;
+  private static final long STOP_MARGIN_MS = 5_000;
+
   private DaemonMain() {}
 
   /** Runs the program with the given arguments. */
   public static void main(String[] args) {
-    System.exit(2);
+    System.setProperty("org.jboss.logging.provider", "slf4j");
+    System.setProperty(
+        "vertx.logger-delegate-factory-class-name",
+        "io.vertx.core.logging.SLF4JLogDelegateFactory");
+    System.setProperty("vertx.disableFileCPResolving", "true");
+    try {
+      DaemonCommand command = SingleCommand.singleCommand(DaemonCommand.class).parse(args);
+      if (command.help != null && command.help.showHelpIfRequested()) {
+        return;
+      }
+      run(command);
+    } catch (ParseException e) {
+      usage(e.getMessage());
+    }
+  }
+
+  private static void run(DaemonCommand command) {
+    if (command.standalone == (command.settingsFile != null)) {
+      usage("give either --settings FILE or --standalone");
+      return;
+    }
+    int eventLoops = Runtime.getRuntime().availableProcessors();
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(eventLoops));
+    InstantSource clock = new SteadyClock(InstantSource.system(), System::nanoTime);
+    Logger log = Logger.getLogger(DaemonMain.class);
+    if (command.standalone) {
+      log.warn("standalone keeps nothing: programs, history and settings end with this process");
+    }
+    Future<Daemon> made =
+        command.standalone
+            ? standalone(vertx, clock, command.http)
+            : configured(vertx, clock, command.settingsFile);
+    made.compose(daemon -> daemon.start(eventLoops).map(daemon))
+        .onSuccess(daemon -> started(daemon, log))
+        .onFailure(
+            failure -> {
+              log.error("the daemon did not start", failure);
+              System.exit(EXIT_FAILED);
+            });
+  }
+
+  private static Future<Daemon> standalone(Vertx vertx, InstantSource clock, String http) {
+    int colon = http.lastIndexOf(':');
+    HostPort address =
+        new HostPort(http.substring(0, colon), Integer.parseInt(http.substring(colon + 1)));
+    return Standalone.start(vertx, clock)
+        .map(world -> new Daemon(vertx, Standalone.process(address), world.log(), clock));
+  }
+
+  private static Future<Daemon> configured(Vertx vertx, InstantSource clock, String file) {
+    ProcessSettings settings = read(file);
+    return Future.succeededFuture(
+        new Daemon(vertx, settings, new HttpLogClient(vertx, settings.log()), clock));
+  }
+
+  private static ProcessSettings read(String file) {
+    try {
+      ParseResult<ProcessSettings> result =
+          ProcessSettingsParser.parse(file, Files.readString(Path.of(file)));
+      result.findings().forEach(finding -> System.err.println(finding));
+      if (result.value().isEmpty()) {
+        System.exit(EXIT_FINDINGS);
+      }
+      return result.value().orElseThrow();
+    } catch (IOException e) {
+      System.err.println("cannot read " + file + ": " + e.getMessage());
+      System.exit(EXIT_USAGE);
+      throw new IllegalStateException("unreachable", e);
+    }
+  }
+
+  private static void started(Daemon daemon, Logger log) {
+    log.infof("listening for callers on port %d", daemon.httpPort());
+    System.out.println("http_port " + daemon.httpPort());
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
+  }
+
+  /** Runs the planned stop inside the signal's shutdown and sets its exit code. */
+  private static void stop(Daemon daemon) {
+    CompletableFuture<StopReport> report = new CompletableFuture<>();
+    daemon.stop().onSuccess(report::complete).onFailure(report::completeExceptionally);
+    int code = StopReport.EXIT_CUT;
+    try {
+      code = report.get(daemon.drainTimeoutMs() + STOP_MARGIN_MS, TimeUnit.MILLISECONDS).exitCode();
+    } catch (ExecutionException | TimeoutException e) {
+      Logger.getLogger(DaemonMain.class).error("the planned stop failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    Runtime.getRuntime().halt(code);
+  }
+
+  private static void usage(String problem) {
+    System.err.println(problem);
+    System.err.println("usage: magnoliaroute-daemon --settings FILE | --standalone");
+    System.exit(EXIT_USAGE);
   }
 }
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineMemoryClient.java
@@ -0,0 +1,67 @@
+package io.magnoliaroute.daemon.engine;
+
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.settings.EndpointSettings;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Lists and releases the prefix cache of model engines. */
+public final class EngineMemoryClient {
+
+  private static final long TIMEOUT_MS = 1_000;
+  private static final int OK = 200;
+
+  private final HttpClient client;
+
+  /** Makes a client. */
+  public EngineMemoryClient(Vertx vertx, EngineTimeouts timeouts) {
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions().setConnectTimeout(timeouts.connectMs()).setTcpNoDelay(true));
+  }
+
+  /** Returns the tokens that the engine holds for each cache key. */
+  public Future<Map<String, Integer>> listing(EndpointSettings endpoint) {
+    return send(endpoint, HttpMethod.GET, "/v1/cache")
+        .map(
+            body -> {
+              Map<String, Integer> held = new LinkedHashMap<>();
+              for (Object each : body.getJsonArray("entries")) {
+                JsonObject entry = (JsonObject) each;
+                held.put(entry.getString("key"), entry.getInteger("tokens"));
+              }
+              return held;
+            });
+  }
+
+  /** Releases what the engine holds for the program. */
+  public Future<Void> release(EndpointSettings endpoint, ProgramId program) {
+    return send(endpoint, HttpMethod.POST, "/v1/cache/" + program.value() + "/release").mapEmpty();
+  }
+
+  private Future<JsonObject> send(EndpointSettings endpoint, HttpMethod method, String uri) {
+    RequestOptions target =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(endpoint.host())
+            .setPort(endpoint.port())
+            .setURI(uri)
+            .setTimeout(TIMEOUT_MS)
+            .setIdleTimeout(TIMEOUT_MS);
+    return client
+        .request(target)
+        .compose(request -> request.send())
+        .compose(
+            response ->
+                response.statusCode() == OK
+                    ? response.body().map(body -> body.toJsonObject())
+                    : Future.failedFuture("status " + response.statusCode()));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of model engines and plain services. */
+package io.magnoliaroute.daemon.engine;
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/HttpReplySink.java
@@ -0,0 +1,101 @@
+package io.magnoliaroute.daemon.http;
+
+import io.magnoliaroute.daemon.request.ReplySink;
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Map;
+
+/** The reply of one HTTP request. */
+final class HttpReplySink implements ReplySink {
+
+  private final Context context;
+  private final HttpServerRequest request;
+  private final HttpServerResponse response;
+  private final Runnable onEnd;
+  private Runnable onClose = () -> {};
+  private boolean closed;
+  private boolean ended;
+
+  /** Makes a sink; {@code onEnd} runs once when the reply has ended or the caller has left. */
+  HttpReplySink(Context context, HttpServerRequest request, Runnable onEnd) {
+    this.context = context;
+    this.request = request;
+    this.response = request.response();
+    this.onEnd = onEnd;
+    response.closeHandler(closing -> closed());
+    response.exceptionHandler(failure -> closed());
+  }
+
+  @Override
+  public Context context() {
+    return context;
+  }
+
+  @Override
+  public void head(int status, Map<String, String> headers) {
+    if (closed) {
+      return;
+    }
+    response.setStatusCode(status);
+    headers.forEach(response::putHeader);
+    if (!headers.containsKey("Content-Length")) {
+      response.setChunked(true);
+    }
+  }
+
+  @Override
+  public void write(Buffer part) {
+    if (!closed) {
+      response.write(part);
+    }
+  }
+
+  @Override
+  public boolean isFull() {
+    return !closed && response.writeQueueFull();
+  }
+
+  @Override
+  public void onDrain(Runnable action) {
+    response.drainHandler(drained -> action.run());
+  }
+
+  @Override
+  public void end() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (!closed) {
+      response.end();
+    }
+    onEnd.run();
+  }
+
+  @Override
+  public void abort() {
+    request.connection().close();
+  }
+
+  @Override
+  public void onClose(Runnable action) {
+    onClose = action;
+  }
+
+  @Override
+  public boolean isClosed() {
+    return closed;
+  }
+
+  private void closed() {
+    if (closed || ended) {
+      return;
+    }
+    closed = true;
+    ended = true;
+    onClose.run();
+    onEnd.run();
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface of callers and operators. */
+package io.magnoliaroute.daemon.http;
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Start, readiness and planned stop. */
+package io.magnoliaroute.daemon.lifecycle;
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms. */
+package io.magnoliaroute.daemon.metrics;
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/BudgetDesk.java
@@ -0,0 +1,90 @@
+package io.magnoliaroute.daemon.platform;
+
+import io.magnoliaroute.core.budget.BudgetAvailability;
+import io.magnoliaroute.core.budget.Reservation;
+import io.magnoliaroute.core.log.LogPort;
+import io.magnoliaroute.core.model.Hashing;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.settings.TeamSettings;
+import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+import io.magnoliaroute.daemon.program.BudgetGate;
+import io.magnoliaroute.daemon.settings.SettingsBoard.SettingsSnapshot;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+
+/** The budgets of all teams on this VM, one account keeper for each budget stream. */
+public final class BudgetDesk implements BudgetGate {
+
+  /** The number of budget streams; a team's stream is chosen by the hash of its name. */
+  public static final int STREAMS = 8;
+
+  private static final long POLL_MS = 20;
+
+  private final List<BudgetStream> streams = new ArrayList<>();
+  private final ToLongFunction<TeamId> versions;
+  private Map<TeamId, TeamSettings> known = new HashMap<>();
+
+  /** Makes the accounts without teams; settings bring the teams. */
+  public BudgetDesk(
+      Vertx vertx,
+      LogPort log,
+      InstantSource clock,
+      VmId vm,
+      String writer,
+      ToLongFunction<TeamId> versions,
+      DaemonMetrics metrics) {
+    this.versions = versions;
+    for (int i = 0; i < STREAMS; i++) {
+      streams.add(new BudgetStream("budget-" + i, vertx, log, clock, vm, writer, metrics));
+    }
+    vertx.setPeriodic(POLL_MS, timer -> streams.forEach(BudgetStream::poll));
+  }
+
+  /** Takes the teams of new settings. */
+  public synchronized void settings(SettingsSnapshot snapshot) {
+    Map<TeamId, TeamSettings> teams = snapshot.tree().teams();
+    Set<TeamId> gone = new HashSet<>(known.keySet());
+    for (TeamSettings team : teams.values()) {
+      gone.remove(team.id());
+      if (!team.equals(known.get(team.id()))) {
+        stream(team.id()).putTeam(team, versions.applyAsLong(team.id()));
+      }
+    }
+    gone.forEach(team -> stream(team).removeTeam(team));
+    known = new HashMap<>(teams);
+  }
+
+  @Override
+  public Future<Reservation> reserve(TeamId team, long units) {
+    return stream(team).reserve(team, units);
+  }
+
+  @Override
+  public void settle(Reservation reservation, long spentUnits) {
+    stream(reservation.team()).settle(reservation, spentUnits);
+  }
+
+  /** Returns whether a call of the units could be reserved, for status pages. */
+  public BudgetAvailability availability(TeamId team, long units) {
+    return stream(team).availability(team, units);
+  }
+
+  /** Releases all slices; completes when the log has the releases. */
+  public Future<Void> drain() {
+    List<Future<Void>> drains = streams.stream().map(BudgetStream::drain).toList();
+    return Future.join(drains).mapEmpty();
+  }
+
+  private BudgetStream stream(TeamId team) {
+    return streams.get(Math.floorMod(Hashing.fnv1a64(team.value()), STREAMS));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ActionRun.java
@@ -0,0 +1,137 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.action.ActionEffect;
+import io.magnoliaroute.core.action.ActionFlow;
+import io.magnoliaroute.core.action.ActionReply;
+import io.magnoliaroute.core.action.ActionRequest;
+import io.magnoliaroute.core.action.SendFailure;
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.program.ProgramView;
+import io.magnoliaroute.core.schedule.CallEnding;
+import io.magnoliaroute.core.schedule.CallResult;
+import io.magnoliaroute.core.schedule.SlotGrant;
+import io.magnoliaroute.core.schedule.WaitingCall;
+import io.magnoliaroute.core.settings.EndpointSettings;
+import io.magnoliaroute.core.settings.PoolSettings;
+import io.magnoliaroute.core.settings.TeamSettings;
+import io.magnoliaroute.daemon.slot.LocalSlots;
+import io.magnoliaroute.daemon.slot.SlotListener;
+import io.vertx.core.Future;
+import java.util.function.Consumer;
+
+/** One non-idempotent action at the partition owner: slots and sending for its flow. */
+final class ActionRun implements FlowDriver.Sender, SlotListener {
+
+  private static final long SLOT_RETRY_MS = 100;
+
+  private final ProgramServices services;
+  private final PoolSettings pool;
+  private final TeamSettings team;
+  private final ProgramView view;
+  private final ActionContent content;
+  private final ActionRequest request;
+  private final String group;
+  private final FlowDriver driver;
+  private final ServiceGateway gateway;
+  private int attempt;
+  private CallId call;
+  private SlotGrant grant;
+  private boolean granted;
+
+  ActionRun(
+      ProgramServices services,
+      PartitionHost host,
+      ActionPlan plan,
+      ActionRequest request,
+      Consumer<ActionReply> onReply) {
+    this.services = services;
+    this.pool = plan.pool();
+    this.team = plan.team();
+    this.view = plan.view();
+    this.content = plan.content();
+    this.request = request;
+    this.group = LocalSlots.groupOf(pool);
+    this.gateway = new ServiceGateway(services.services());
+    this.attempt = services.random().nextInt(1 << 20);
+    ActionFlow flow =
+        host.read(held -> new ActionFlow(request, plan.traits(), ActionPlan.TIMING, held.owner()));
+    this.driver = new FlowDriver(services, host, view.id(), pool, FlowPort.of(flow), this, onReply);
+  }
+
+  void start() {
+    driver.start();
+  }
+
+  @Override
+  public synchronized void prepare(FlowDriver ignored) {
+    if (call != null) {
+      return;
+    }
+    attempt++;
+    call = new CallId(view.id(), view.nextTurn(), attempt);
+    WaitingCall waiting =
+        WaitingCall.builder(call, view.team(), services.dataCentre())
+            .teamShare(team.share())
+            .urgentRation(team.urgentRation())
+            .priority(view.priority())
+            .times(services.nowMs(), request.deadlineAtMs())
+            .underWay(true)
+            .build();
+    services.slots().request(group, waiting, this);
+  }
+
+  @Override
+  public void granted(SlotGrant made) {
+    synchronized (this) {
+      grant = made;
+      granted = true;
+    }
+    driver.beginSend();
+  }
+
+  @Override
+  public void refused(String reason, long retryAfterMs) {
+    synchronized (this) {
+      call = null;
+    }
+    if (services.nowMs() >= request.deadlineAtMs()) {
+      return;
+    }
+    long delayMs = Math.max(SLOT_RETRY_MS, Math.min(retryAfterMs, 1_000));
+    services.vertx().setTimer(delayMs, timer -> prepare(driver));
+  }
+
+  @Override
+  public void preempted(long grantId) {
+    // An action that was sent cannot be taken back.
+  }
+
+  @Override
+  public Future<ServiceGateway.SendResult> send(ActionEffect.Send order) {
+    EndpointSettings endpoint = services.settings().current().endpoints().get(grant.endpoint());
+    if (endpoint == null) {
+      release(CallEnding.FAILED);
+      return Future.succeededFuture(new ServiceGateway.SendResult(null, SendFailure.NOT_SENT));
+    }
+    long leftMs = request.deadlineAtMs() - services.nowMs();
+    String key = ServiceGateway.serviceKey(view.id(), request.key());
+    return gateway
+        .send(endpoint, content, key, order.fencingToken(), leftMs)
+        .onSuccess(
+            seen -> release(seen.failure() == null ? CallEnding.COMPLETED : CallEnding.FAILED));
+  }
+
+  @Override
+  public void notSent() {
+    release(CallEnding.CANCELLED);
+  }
+
+  private synchronized void release(CallEnding ending) {
+    if (!granted) {
+      return;
+    }
+    granted = false;
+    services.slots().release(group, call, CallResult.withoutTokens(grant.grantId(), ending));
+    call = null;
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/FlowPort.java
@@ -0,0 +1,158 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.action.ActionEffect;
+import io.magnoliaroute.core.action.ActionFlow;
+import io.magnoliaroute.core.action.ActionRecovery;
+import io.magnoliaroute.core.action.SendFailure;
+import io.magnoliaroute.core.action.StatusAnswer;
+import io.magnoliaroute.core.log.AbandonResult;
+import io.magnoliaroute.core.log.RecordId;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.program.AppliedRecord;
+import java.util.List;
+
+/** The events of a flow that a driver passes on; called under the lock of the partition. */
+interface FlowPort {
+
+  List<ActionEffect> start(long nowMs);
+
+  List<ActionEffect> onApplied(AppliedRecord applied, long nowMs);
+
+  List<ActionEffect> onRestored(long nowMs);
+
+  List<ActionEffect> tick(long nowMs);
+
+  List<ActionEffect> appendCancelled(AbandonResult result, long nowMs);
+
+  List<ActionEffect> appendRefused(RecordId id, long nowMs);
+
+  List<ActionEffect> beginSend(long nowMs);
+
+  List<ActionEffect> onAnswer(Bytes result, long nowMs);
+
+  List<ActionEffect> onSendFailed(SendFailure failure, long nowMs);
+
+  List<ActionEffect> onStatus(StatusAnswer answer, long token, long nowMs);
+
+  boolean closed();
+
+  /** Returns the events of a caller's action. */
+  static FlowPort of(ActionFlow flow) {
+    return new FlowPort() {
+      @Override
+      public List<ActionEffect> start(long nowMs) {
+        return flow.start(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> onApplied(AppliedRecord applied, long nowMs) {
+        return flow.onApplied(applied, nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> onRestored(long nowMs) {
+        return flow.onRestored(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> tick(long nowMs) {
+        return flow.tick(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> appendCancelled(AbandonResult result, long nowMs) {
+        return flow.appendCancelled(result, nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> appendRefused(RecordId id, long nowMs) {
+        return flow.appendRefused(id, nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> beginSend(long nowMs) {
+        return flow.beginSend(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> onAnswer(Bytes result, long nowMs) {
+        return flow.onAnswer(result, nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> onSendFailed(SendFailure failure, long nowMs) {
+        return flow.onSendFailed(failure, nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> onStatus(StatusAnswer answer, long token, long nowMs) {
+        return flow.onStatus(answer, token, nowMs);
+      }
+
+      @Override
+      public boolean closed() {
+        return flow.closed();
+      }
+    };
+  }
+
+  /** Returns the events of a recovery, which sends nothing. */
+  static FlowPort of(ActionRecovery recovery) {
+    return new FlowPort() {
+      @Override
+      public List<ActionEffect> start(long nowMs) {
+        return recovery.start(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> onApplied(AppliedRecord applied, long nowMs) {
+        return recovery.tick(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> onRestored(long nowMs) {
+        return recovery.tick(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> tick(long nowMs) {
+        return recovery.tick(nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> appendCancelled(AbandonResult result, long nowMs) {
+        return List.of();
+      }
+
+      @Override
+      public List<ActionEffect> appendRefused(RecordId id, long nowMs) {
+        return recovery.appendRefused(id, nowMs);
+      }
+
+      @Override
+      public List<ActionEffect> beginSend(long nowMs) {
+        return List.of();
+      }
+
+      @Override
+      public List<ActionEffect> onAnswer(Bytes result, long nowMs) {
+        return List.of();
+      }
+
+      @Override
+      public List<ActionEffect> onSendFailed(SendFailure failure, long nowMs) {
+        return List.of();
+      }
+
+      @Override
+      public List<ActionEffect> onStatus(StatusAnswer answer, long token, long nowMs) {
+        return recovery.onStatus(answer, token, nowMs);
+      }
+
+      @Override
+      public boolean closed() {
+        return recovery.closed();
+      }
+    };
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/RetryGuard.java
@@ -0,0 +1,80 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.PoolId;
+import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.retry.Fingerprint;
+import io.magnoliaroute.core.retry.Quarantine;
+import io.magnoliaroute.core.retry.QuarantineSettings;
+import io.magnoliaroute.core.retry.RetryBudget;
+import io.magnoliaroute.core.retry.RetrySettings;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** The retry budgets and the quarantine of this VM under one lock. */
+public final class RetryGuard {
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final RetryBudget budget = new RetryBudget(RetrySettings.defaults());
+  private final Quarantine quarantine = new Quarantine(QuarantineSettings.defaults());
+
+  /** Returns whether the request must be refused as not run. */
+  boolean refused(Fingerprint request, long nowMs) {
+    lock.lock();
+    try {
+      return quarantine.refused(request, nowMs);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the endpoints that the request has crashed. */
+  Set<EndpointId> crashedEndpoints(Fingerprint request, long nowMs) {
+    lock.lock();
+    try {
+      return quarantine.crashedEndpoints(request, nowMs);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Records a crash and returns the record to append, if the request is quarantined now. */
+  Optional<Quarantine.QuarantineOrder> crashed(
+      Fingerprint request, EndpointId endpoint, long nowMs) {
+    lock.lock();
+    try {
+      return quarantine.crashed(request, endpoint, nowMs);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Applies a record of the {@code control} stream. */
+  public void applyQuarantined(Fingerprint request, long untilMs) {
+    lock.lock();
+    try {
+      quarantine.applyQuarantined(request, untilMs);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  boolean mayRetry(TeamId team, PoolId pool, long nowMs) {
+    lock.lock();
+    try {
+      return budget.tryAcquire(team, pool, nowMs);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  void succeeded(TeamId team, PoolId pool, long nowMs) {
+    lock.lock();
+    try {
+      budget.succeeded(team, pool, nowMs);
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ServiceGateway.java
@@ -0,0 +1,124 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.action.SendFailure;
+import io.magnoliaroute.core.action.StatusAnswer;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.settings.EndpointSettings;
+import io.magnoliaroute.core.settings.PoolSettings;
+import io.magnoliaroute.daemon.engine.EngineFailure;
+import io.magnoliaroute.daemon.engine.ServiceAnswer;
+import io.magnoliaroute.daemon.engine.ServiceCallException;
+import io.magnoliaroute.daemon.engine.ServiceClient;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.Json;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.OptionalLong;
+
+/** Sends actions to plain services and reads what their answers say. */
+final class ServiceGateway {
+
+  private static final int STALE_TOKEN_STATUS = 412;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final long NO_TOKEN = 0;
+
+  private final ServiceClient client;
+
+  ServiceGateway(ServiceClient client) {
+    this.client = client;
+  }
+
+  /** An answer, or how the request failed; exactly one is set. */
+  record SendResult(Bytes result, SendFailure failure) {}
+
+  /** Returns the key as the service sees it. Keys of different programs never meet there. */
+  static String serviceKey(ProgramId program, String key) {
+    return program + "/" + key;
+  }
+
+  /** Sends the action once. */
+  Future<SendResult> send(
+      EndpointSettings endpoint,
+      ActionContent content,
+      String serviceKey,
+      OptionalLong token,
+      long timeoutMs) {
+    return client
+        .operation(
+            endpoint,
+            content.operation(),
+            serviceKey,
+            token.orElse(NO_TOKEN),
+            Conversation.bytes(content.arguments()),
+            timeoutMs)
+        .map(ServiceGateway::read)
+        .otherwise(failure -> new SendResult(null, failureOf(failure)));
+  }
+
+  /** Asks the endpoints in turn until one answers. */
+  Future<StatusAnswer> status(PoolSettings pool, String serviceKey, long token) {
+    return statusAt(pool.endpoints(), 0, serviceKey, token);
+  }
+
+  private Future<StatusAnswer> statusAt(
+      List<EndpointSettings> endpoints, int index, String serviceKey, long token) {
+    if (index >= endpoints.size()) {
+      return Future.succeededFuture(new StatusAnswer.Unclear());
+    }
+    return client
+        .status(endpoints.get(index), serviceKey, token)
+        .map(ServiceGateway::readStatus)
+        .recover(failure -> statusAt(endpoints, index + 1, serviceKey, token));
+  }
+
+  private static SendResult read(ServiceAnswer answer) {
+    if (answer.status() == STALE_TOKEN_STATUS) {
+      return new SendResult(null, SendFailure.STALE_TOKEN);
+    }
+    if (answer.status() >= FIRST_SERVER_ERROR) {
+      // The status does not say whether the operation took effect before the fault.
+      return new SendResult(null, SendFailure.LOST);
+    }
+    JsonObject result =
+        new JsonObject().put("status", answer.status()).put("body", body(answer.body()));
+    return new SendResult(Conversation.bytes(result), null);
+  }
+
+  private static SendFailure failureOf(Throwable failure) {
+    boolean notSent =
+        failure instanceof ServiceCallException known
+            && known.failure().kind() == EngineFailure.Kind.NOT_SENT;
+    return notSent ? SendFailure.NOT_SENT : SendFailure.LOST;
+  }
+
+  private static StatusAnswer readStatus(ServiceAnswer answer) {
+    try {
+      JsonObject json = Buffer.buffer(answer.body().toArray()).toJsonObject();
+      if (answer.status() != 200) {
+        return new StatusAnswer.Unclear();
+      }
+      return switch (json.getString("status", "")) {
+        case "done" -> {
+          JsonObject result =
+              new JsonObject().put("status", 200).put("body", json.getValue("result"));
+          yield new StatusAnswer.Ran(Conversation.bytes(result));
+        }
+        case "did_not_run" -> new StatusAnswer.DidNotRun();
+        default -> new StatusAnswer.Unclear();
+      };
+    } catch (DecodeException | ClassCastException e) {
+      return new StatusAnswer.Unclear();
+    }
+  }
+
+  private static Object body(Bytes body) {
+    try {
+      return body.sizeBytes() == 0 ? null : Json.decodeValue(body.toUtf8());
+    } catch (DecodeException e) {
+      return body.toUtf8();
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/StartRequest.java
@@ -0,0 +1,72 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.model.PriorityClass;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.settings.ProgramSettings;
+import io.magnoliaroute.core.settings.TeamSettings;
+import io.magnoliaroute.daemon.request.CallerRequest;
+import io.magnoliaroute.daemon.request.Problem;
+import io.magnoliaroute.daemon.request.ProblemCode;
+import io.magnoliaroute.daemon.request.ProblemException;
+import io.magnoliaroute.daemon.settings.SettingsBoard.SettingsSnapshot;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import java.util.Optional;
+
+/**
+ * What a caller says of a new program, with the defaults of its kind.
+ *
+ * @param priority the class
+ * @param deadlineAtMs the wall-clock time by which it must end, 0 for none
+ * @param parent the program that it is a sub-agent of
+ * @param clientKey the caller's key for the start
+ */
+record StartRequest(
+    PriorityClass priority,
+    long deadlineAtMs,
+    Optional<ProgramId> parent,
+    Optional<String> clientKey) {
+
+  static StartRequest parse(CallerRequest request, SettingsSnapshot settings, long nowMs)
+      throws ProblemException {
+    try {
+      JsonObject json =
+          request.body().sizeBytes() == 0
+              ? new JsonObject()
+              : Buffer.buffer(request.body().toArray()).toJsonObject();
+      ProgramSettings kind = kind(json, request, settings);
+      String priority = json.getString("class", kind.priority().wireName());
+      long deadlineMs = json.getLong("deadline_ms", kind.deadlineMs());
+      if (deadlineMs < 0) {
+        throw invalid("deadline_ms must not be negative, was " + deadlineMs);
+      }
+      return new StartRequest(
+          PriorityClass.ofWireName(priority),
+          deadlineMs == 0 ? 0 : nowMs + deadlineMs,
+          Optional.ofNullable(json.getString("parent")).map(ProgramId::new),
+          request.field(CallerRequest.Fields.IDEMPOTENCY_KEY));
+    } catch (DecodeException | ClassCastException | IllegalArgumentException e) {
+      throw invalid("the body is not a program: " + e.getMessage());
+    }
+  }
+
+  private static ProgramSettings kind(
+      JsonObject json, CallerRequest request, SettingsSnapshot settings) throws ProblemException {
+    ProgramSettings none = new ProgramSettings("", PriorityClass.NORMAL, 0);
+    String name = json.getString("kind");
+    if (name == null) {
+      return none;
+    }
+    TeamSettings team = settings.tree().teams().get(request.team());
+    ProgramSettings known = team == null ? null : team.programs().get(name);
+    if (known == null) {
+      throw invalid("the team has no kind of program '" + name + "'");
+    }
+    return known;
+  }
+
+  private static ProblemException invalid(String detail) {
+    return Problem.of(ProblemCode.INVALID_REQUEST, detail).asException();
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnPlan.java
@@ -0,0 +1,33 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.program.ProgramView;
+import io.magnoliaroute.core.retry.Fingerprint;
+import io.magnoliaroute.core.settings.PoolSettings;
+import io.magnoliaroute.core.settings.TeamSettings;
+import io.vertx.core.json.JsonArray;
+
+/**
+ * A turn that passed the checks of the partition owner.
+ *
+ * @param view the program
+ * @param root the root of its tree
+ * @param team the settings of its team
+ * @param pool the pool that serves the model
+ * @param number the number of the turn
+ * @param stored what the turn adds to the history
+ * @param conversation the whole conversation for the engine
+ * @param promptTokens an estimate of the tokens of the conversation
+ * @param fingerprint identifies the content of the request
+ */
+record TurnPlan(
+    ProgramView view,
+    ProgramId root,
+    TeamSettings team,
+    PoolSettings pool,
+    int number,
+    Bytes stored,
+    JsonArray conversation,
+    int promptTokens,
+    Fingerprint fingerprint) {}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnReply.java
@@ -0,0 +1,159 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.model.Outcome;
+import io.magnoliaroute.core.program.Turn;
+import io.magnoliaroute.daemon.engine.ChatRequest;
+import io.magnoliaroute.daemon.engine.EngineAnswer;
+import io.magnoliaroute.daemon.request.Problem;
+import io.magnoliaroute.daemon.request.Replies;
+import io.magnoliaroute.daemon.request.ReplySink;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.Map;
+
+/** Writes the reply to one turn, as events or as one body. */
+final class TurnReply {
+
+  private static final String DONE_EVENT = "data: [DONE]\n\n";
+
+  private final ReplySink sink;
+  private final ChatRequest chat;
+  private final String program;
+  private boolean headSent;
+
+  TurnReply(ReplySink sink, ChatRequest chat, String program) {
+    this.sink = sink;
+    this.chat = chat;
+    this.program = program;
+  }
+
+  boolean hasStarted() {
+    return headSent;
+  }
+
+  void tokens(Buffer events) {
+    if (!chat.stream() || sink.isClosed()) {
+      return;
+    }
+    startStream();
+    sink.write(events);
+  }
+
+  void done(EngineAnswer answer, int turn, boolean logged, boolean urgentDemoted) {
+    if (sink.isClosed()) {
+      return;
+    }
+    JsonObject extra =
+        new JsonObject()
+            .put("program", program)
+            .put("turn", turn)
+            .put("history", logged ? "logged" : "unlogged");
+    if (urgentDemoted) {
+      extra.put("urgent_demoted", true);
+    }
+    if (chat.stream()) {
+      streamEnd(answer, extra);
+      return;
+    }
+    Replies.done(sink, 200, plainBody(answer).mergeIn(extra));
+  }
+
+  /** Sends a recorded turn again. */
+  void recorded(Turn turn) {
+    JsonObject message = Conversation.json(turn.answer());
+    EngineAnswer answer =
+        new EngineAnswer("recorded", message, "stop", turn.promptTokens(), turn.answerTokens(), 0);
+    if (chat.stream()) {
+      startStream();
+      JsonObject delta = new JsonObject().put("content", message.getValue("content"));
+      if (message.containsKey("tool_calls")) {
+        delta.put("tool_calls", message.getValue("tool_calls"));
+      }
+      JsonObject choice =
+          new JsonObject().put("index", 0).put("delta", delta).putNull("finish_reason");
+      event(chunk(answer.id(), choice));
+    }
+    done(answer, turn.number(), true, false);
+  }
+
+  void problem(Problem problem) {
+    if (sink.isClosed()) {
+      return;
+    }
+    if (!headSent) {
+      Replies.problem(sink, problem);
+      return;
+    }
+    sink.write(
+        Buffer.buffer("event: error\ndata: " + Replies.problemBody(problem).encode() + "\n\n"));
+    sink.end();
+  }
+
+  private void startStream() {
+    if (headSent) {
+      return;
+    }
+    headSent = true;
+    // The outcome is open until the final event, which carries it.
+    sink.head(
+        200,
+        Map.of(
+            "Content-Type",
+            "text/event-stream",
+            "Cache-Control",
+            "no-cache",
+            Replies.OUTCOME_HEADER,
+            Outcome.UNKNOWN.wireName()));
+  }
+
+  private void streamEnd(EngineAnswer answer, JsonObject extra) {
+    startStream();
+    JsonObject choice =
+        new JsonObject()
+            .put("index", 0)
+            .put("delta", new JsonObject())
+            .put("finish_reason", answer.finishReason());
+    event(
+        chunk(answer.id(), choice)
+            .put("usage", usage(answer))
+            .put("outcome", Outcome.DONE.wireName())
+            .mergeIn(extra));
+    sink.write(Buffer.buffer(DONE_EVENT));
+    sink.end();
+  }
+
+  private void event(JsonObject body) {
+    sink.write(Buffer.buffer("data: " + body.encode() + "\n\n"));
+  }
+
+  private JsonObject chunk(String id, JsonObject choice) {
+    return new JsonObject()
+        .put("id", id)
+        .put("object", "chat.completion.chunk")
+        .put("model", chat.model())
+        .put("choices", new JsonArray().add(choice));
+  }
+
+  private JsonObject plainBody(EngineAnswer answer) {
+    JsonObject choice =
+        new JsonObject()
+            .put("index", 0)
+            .put("message", answer.message())
+            .put("finish_reason", answer.finishReason());
+    return new JsonObject()
+        .put("id", answer.id())
+        .put("object", "chat.completion")
+        .put("model", chat.model())
+        .put("choices", new JsonArray().add(choice))
+        .put("usage", usage(answer));
+  }
+
+  private static JsonObject usage(EngineAnswer answer) {
+    return new JsonObject()
+        .put("prompt_tokens", answer.promptTokens())
+        .put("completion_tokens", answer.answerTokens())
+        .put("total_tokens", answer.promptTokens() + answer.answerTokens())
+        .put("prompt_tokens_details", new JsonObject().put("cached_tokens", answer.cachedTokens()));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
@@ -0,0 +1,421 @@
+package io.magnoliaroute.daemon.program;
+
+import io.magnoliaroute.core.budget.Reservation;
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.PriorityClass;
+import io.magnoliaroute.core.program.HeldTurn;
+import io.magnoliaroute.core.program.Turn;
+import io.magnoliaroute.core.schedule.CallEnding;
+import io.magnoliaroute.core.schedule.CallResult;
+import io.magnoliaroute.core.schedule.ServiceUnits;
+import io.magnoliaroute.core.schedule.SlotGrant;
+import io.magnoliaroute.core.schedule.WaitingCall;
+import io.magnoliaroute.core.settings.EndpointSettings;
+import io.magnoliaroute.daemon.engine.ChatRequest;
+import io.magnoliaroute.daemon.engine.EngineAnswer;
+import io.magnoliaroute.daemon.engine.EngineCall;
+import io.magnoliaroute.daemon.engine.EngineFailure;
+import io.magnoliaroute.daemon.engine.EngineListener;
+import io.magnoliaroute.daemon.request.Problem;
+import io.magnoliaroute.daemon.request.ProblemCode;
+import io.magnoliaroute.daemon.request.ProblemException;
+import io.magnoliaroute.daemon.request.ReplySink;
+import io.magnoliaroute.daemon.slot.LocalSlots;
+import io.magnoliaroute.daemon.slot.SlotListener;
+import io.vertx.core.AsyncResult;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * One model turn at the partition owner: slot, stream, history, final event. It is used on the
+ * context of its sink; answers from elsewhere are moved there first.
+ */
+final class TurnRun implements SlotListener, EngineListener {
+
+  private static final int MAX_ATTEMPTS = 3;
+  private static final long NO_TIMER = -1;
+  private static final long RETRY_DELAY_MS = 50;
+  // A turn is answered as unlogged when the log has not confirmed it within this time.
+  private static final long LOG_WAIT_MS = 1_000;
+
+  private final ProgramServices services;
+  private final PartitionHost host;
+  private final TurnPlan plan;
+  private final ChatRequest chat;
+  private final ReplySink sink;
+  private final TurnReply reply;
+  private final Runnable onEnd;
+  private final Context context;
+  private final String group;
+  private final long arrivedMs;
+  private final StringBuilder textBefore = new StringBuilder();
+  private CallId call;
+  private int attempt;
+  private int attemptsMade;
+  private boolean engineUsed;
+  private Reservation reservation;
+  private SlotUse slot;
+  private EngineCall running;
+  private int tokensBefore;
+  private long deadlineTimer = NO_TIMER;
+  private boolean urgentDemoted;
+  private boolean ended;
+
+  TurnRun(
+      ProgramServices services,
+      PartitionHost host,
+      TurnPlan plan,
+      ChatRequest chat,
+      ReplySink sink,
+      Runnable onEnd) {
+    this.services = services;
+    this.host = host;
+    this.plan = plan;
+    this.chat = chat;
+    this.sink = sink;
+    this.reply = new TurnReply(sink, chat, plan.view().id().value());
+    this.onEnd = onEnd;
+    this.context = sink.context();
+    this.group = LocalSlots.groupOf(plan.pool());
+    this.arrivedMs = services.nowMs();
+    this.attempt = services.random().nextInt(1 << 20);
+  }
+
+  void start() {
+    sink.onClose(this::callerLeft);
+    long units = (long) plan.promptTokens() + chat.maxTokens();
+    services
+        .budgets()
+        .reserve(plan.view().team(), units)
+        .onComplete(done -> context.runOnContext(run -> reserved(done)));
+  }
+
+  /** Ends the turn because its program ended. */
+  void cancel() {
+    context.runOnContext(
+        run -> abort(Problem.of(ProblemCode.PROGRAM_ENDED, "the program was cancelled")));
+  }
+
+  @Override
+  public void granted(SlotGrant granted) {
+    context.runOnContext(run -> send(granted));
+  }
+
+  @Override
+  public void refused(String reason, long retryAfterMs) {
+    context.runOnContext(
+        run -> {
+          if (engineUsed) {
+            fail(Problem.of(ProblemCode.ENDPOINT_FAILED, "no slot for a retry: " + reason));
+          } else {
+            fail(new Problem(ProblemCode.OVERLOADED, reason, retryAfterMs));
+          }
+        });
+  }
+
+  @Override
+  public void preempted(long grantId) {
+    context.runOnContext(run -> preemptNow(grantId));
+  }
+
+  @Override
+  public void onTokens(Buffer events, int tokensSoFar) {
+    long nowMs = services.nowMs();
+    if (slot.isFirstToken() && attemptsMade == 1 && tokensBefore == 0) {
+      services.metrics().time("first_token_ms", plan.view().team(), priority(), nowMs - arrivedMs);
+    }
+    slot.tokens(tokensSoFar, nowMs);
+    reply.tokens(events);
+    if (chat.stream() && sink.isFull()) {
+      running.pause();
+      sink.onDrain(running::resume);
+    }
+  }
+
+  @Override
+  public void onAnswer(EngineAnswer answer) {
+    slot.tokens(answer.answerTokens(), services.nowMs());
+    release(CallEnding.COMPLETED, answer.cachedTokens());
+    running = null;
+    services.retries().succeeded(plan.view().team(), plan.pool().id(), services.nowMs());
+    EngineAnswer whole = withTextBefore(answer);
+    int used = whole.promptTokens() + whole.answerTokens();
+    settle(used);
+    services.memory().noteCached(plan.view().id(), slot.endpoint(), used);
+    record(whole);
+  }
+
+  @Override
+  public void onFailure(EngineFailure failure) {
+    services.metrics().count("engine_failures", "kind", failure.kind().name());
+    engineUsed |= failure.kind() != EngineFailure.Kind.NOT_SENT;
+    keepText();
+    running = null;
+    release(CallEnding.FAILED, 0);
+    if (failure.kind() == EngineFailure.Kind.BROKEN) {
+      noteCrash();
+    }
+    retryOrFail(failure);
+  }
+
+  private void reserved(AsyncResult<Reservation> done) {
+    if (done.failed()) {
+      fail(ProblemException.of(done.cause()));
+      return;
+    }
+    reservation = done.result();
+    if (ended) {
+      services.budgets().settle(reservation, 0);
+      return;
+    }
+    startDeadline();
+    requestSlot();
+  }
+
+  private void requestSlot() {
+    if (ended) {
+      return;
+    }
+    attempt++;
+    attemptsMade++;
+    call = new CallId(plan.view().id(), plan.number(), attempt);
+    ProgramMemory memory = services.memory();
+    WaitingCall waiting =
+        WaitingCall.builder(call, plan.view().team(), services.dataCentre())
+            .rootProgram(plan.root())
+            .teamShare(plan.team().share())
+            .urgentRation(plan.team().urgentRation())
+            .priority(plan.view().priority())
+            .times(arrivedMs, deadlineMs())
+            .prompt(plan.promptTokens(), memory.cachedTokens(plan.view().id()))
+            .attainedServiceUnits(memory.serviceUnits(plan.root()))
+            .underWay(plan.number() > 0)
+            .model(chat.model())
+            .idempotent(true)
+            .build();
+    services.slots().request(group, waiting, this);
+  }
+
+  private long deadlineMs() {
+    long deadline = plan.view().deadlineAtMs();
+    return deadline == 0 ? Long.MAX_VALUE : deadline;
+  }
+
+  private void send(SlotGrant granted) {
+    EndpointSettings endpoint = services.settings().current().endpoints().get(granted.endpoint());
+    if (ended || endpoint == null || !granted.call().equals(call)) {
+      CallEnding ending = ended ? CallEnding.CANCELLED : CallEnding.FAILED;
+      services
+          .slots()
+          .release(group, granted.call(), CallResult.withoutTokens(granted.grantId(), ending));
+      if (!ended && granted.call().equals(call)) {
+        retryOrFail(new EngineFailure(EngineFailure.Kind.NOT_SENT, "the endpoint was removed"));
+      }
+      return;
+    }
+    urgentDemoted |= granted.urgentDemoted();
+    slot = new SlotUse(services.slots(), group, granted, services.nowMs());
+    services
+        .metrics()
+        .time("wait_ms", plan.view().team(), priority(), services.nowMs() - arrivedMs);
+    running =
+        services
+            .engines()
+            .call(endpoint, call, chat, plan.conversation(), textBefore.toString(), this);
+  }
+
+  private void preemptNow(long grantId) {
+    if (ended || running == null || !slot.isOf(grantId)) {
+      return;
+    }
+    services.metrics().count("preemptions");
+    keepText();
+    running.cancel();
+    running = null;
+    release(CallEnding.PREEMPTED, 0);
+  }
+
+  private void keepText() {
+    if (running != null) {
+      textBefore.append(running.textSoFar());
+      tokensBefore += running.tokensSoFar();
+    }
+  }
+
+  private EngineAnswer withTextBefore(EngineAnswer answer) {
+    if (textBefore.length() == 0) {
+      return answer;
+    }
+    JsonObject message = answer.message().copy();
+    message.put("content", textBefore + message.getString("content", ""));
+    return new EngineAnswer(
+        answer.id(),
+        message,
+        answer.finishReason(),
+        answer.promptTokens(),
+        answer.answerTokens() + tokensBefore,
+        answer.cachedTokens());
+  }
+
+  private void noteCrash() {
+    services
+        .retries()
+        .crashed(plan.fingerprint(), slot.endpoint(), services.nowMs())
+        .ifPresent(order -> services.control().quarantine(order.fingerprint(), order.untilMs()));
+  }
+
+  private void retryOrFail(EngineFailure failure) {
+    if (ended) {
+      return;
+    }
+    long nowMs = services.nowMs();
+    boolean quarantined = services.retries().refused(plan.fingerprint(), nowMs);
+    boolean mayRetry =
+        !quarantined
+            && attemptsMade < MAX_ATTEMPTS
+            && nowMs < deadlineMs()
+            && services.retries().mayRetry(plan.view().team(), plan.pool().id(), nowMs);
+    if (mayRetry) {
+      services.metrics().count("retries");
+      long delayMs = 1 + services.random().nextLong(RETRY_DELAY_MS * attemptsMade);
+      services.vertx().setTimer(delayMs, timer -> context.runOnContext(run -> requestSlot()));
+      return;
+    }
+    ProblemCode code = engineUsed ? ProblemCode.ENDPOINT_FAILED : ProblemCode.ENDPOINT_UNREACHABLE;
+    fail(Problem.of(code, failure.kind() + ": " + failure.detail()));
+  }
+
+  private void record(EngineAnswer answer) {
+    Turn turn =
+        new Turn(
+            plan.number(),
+            attemptsMade - 1,
+            plan.stored(),
+            Conversation.bytes(answer.message()),
+            answer.promptTokens(),
+            answer.answerTokens());
+    HeldTurn completed = new HeldTurn(host.partition(), plan.view().id(), turn);
+    Future<Applied> applied = host.appendTurn(completed);
+    long timer = services.vertx().setTimer(LOG_WAIT_MS, fired -> runFinish(answer, false));
+    applied.onComplete(
+        done -> {
+          services.vertx().cancelTimer(timer);
+          if (done.succeeded() && done.result().accepted()) {
+            runFinish(answer, true);
+          } else {
+            context.runOnContext(run -> historyRefused());
+          }
+        });
+  }
+
+  private void runFinish(EngineAnswer answer, boolean logged) {
+    context.runOnContext(run -> finish(answer, logged));
+  }
+
+  private void finish(EngineAnswer answer, boolean logged) {
+    if (ended) {
+      return;
+    }
+    end();
+    services.metrics().count(logged ? "turns_logged" : "turns_unlogged");
+    if (!logged) {
+      services.mirror().unlogged(host.partition(), plan.view().id());
+    }
+    services
+        .metrics()
+        .time("turn_ms", plan.view().team(), priority(), services.nowMs() - arrivedMs);
+    reply.done(answer, plan.number(), logged, urgentDemoted);
+  }
+
+  private void historyRefused() {
+    if (!ended) {
+      end();
+      services.metrics().count("turns_refused_by_log");
+      reply.problem(
+          Problem.of(ProblemCode.OWNER_CHANGED, "the history of the turn was not accepted"));
+    }
+  }
+
+  private void release(CallEnding ending, int cachedTokens) {
+    services
+        .memory()
+        .addService(
+            plan.root(),
+            ServiceUnits.of(Math.max(0, plan.promptTokens() - cachedTokens), slot.tokens()));
+    slot.release(ending, cachedTokens);
+  }
+
+  private void startDeadline() {
+    long leftMs = deadlineMs() - services.nowMs();
+    if (deadlineMs() == Long.MAX_VALUE) {
+      return;
+    }
+    deadlineTimer =
+        services
+            .vertx()
+            .setTimer(Math.max(1, leftMs), fired -> context.runOnContext(run -> deadlinePassed()));
+  }
+
+  /** Gives up a call that waits; one that runs is not dropped. */
+  private void deadlinePassed() {
+    if (!ended && running == null && slot == null) {
+      abort(Problem.of(ProblemCode.DEADLINE_PASSED, "no slot before the deadline"));
+    }
+  }
+
+  private void callerLeft() {
+    if (!ended) {
+      services.metrics().count("callers_left");
+      abort(Problem.of(ProblemCode.INTERNAL, "the caller left"));
+    }
+  }
+
+  private void abort(Problem problem) {
+    if (ended) {
+      return;
+    }
+    if (running != null) {
+      keepText();
+      running.cancel();
+      running = null;
+      release(CallEnding.CANCELLED, 0);
+    } else if (call != null) {
+      services.slots().cancel(group, call);
+    }
+    fail(problem);
+  }
+
+  private void fail(Problem problem) {
+    if (ended) {
+      return;
+    }
+    host.read(
+        held -> {
+          held.history().release(plan.view().id());
+          return null;
+        });
+    settle(engineUsed || tokensBefore > 0 ? plan.promptTokens() + tokensBefore : 0);
+    end();
+    services.metrics().count("turns_failed", "code", problem.code().code());
+    reply.problem(problem);
+  }
+
+  private void settle(long units) {
+    if (reservation != null) {
+      services.budgets().settle(reservation, units);
+      reservation = null;
+    }
+  }
+
+  private void end() {
+    ended = true;
+    services.vertx().cancelTimer(deadlineTimer);
+    onEnd.run();
+  }
+
+  private PriorityClass priority() {
+    return plan.view().priority();
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/request/Replies.java
@@ -0,0 +1,83 @@
+package io.magnoliaroute.daemon.request;
+
+import io.magnoliaroute.core.model.Outcome;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Writes whole replies. */
+public final class Replies {
+
+  /** The header that carries the outcome. */
+  public static final String OUTCOME_HEADER = "Magnoliaroute-Outcome";
+
+  /** The media type of problem documents. */
+  public static final String PROBLEM_TYPE = "application/problem+json";
+
+  private static final String CONTENT_TYPE = "Content-Type";
+  private static final String JSON_TYPE = "application/json";
+  private static final int MS_PER_SECOND = 1_000;
+
+  private Replies() {}
+
+  /** Replies with the body; the outcome is added to it. */
+  public static void json(ReplySink sink, int status, Outcome outcome, JsonObject body) {
+    Map<String, String> headers = new HashMap<>();
+    headers.put(CONTENT_TYPE, JSON_TYPE);
+    headers.put(OUTCOME_HEADER, outcome.wireName());
+    whole(sink, status, headers, body.put("outcome", outcome.wireName()).toBuffer());
+  }
+
+  /** Replies with the body and outcome done. */
+  public static void done(ReplySink sink, int status, JsonObject body) {
+    json(sink, status, Outcome.DONE, body);
+  }
+
+  /** Replies with the problem. */
+  public static void problem(ReplySink sink, Problem problem) {
+    problem(sink, problem, new JsonObject());
+  }
+
+  /** Replies with the problem and further fields. */
+  public static void problem(ReplySink sink, Problem problem, JsonObject further) {
+    Map<String, String> headers = new HashMap<>();
+    headers.put(CONTENT_TYPE, PROBLEM_TYPE);
+    headers.put(OUTCOME_HEADER, problem.code().outcome().wireName());
+    if (problem.retryAfterMs() > 0) {
+      headers.put("Retry-After", String.valueOf(retryAfterSeconds(problem.retryAfterMs())));
+    }
+    JsonObject body = further.mergeIn(problemBody(problem));
+    whole(sink, problem.code().status(), headers, body.toBuffer());
+  }
+
+  /** Returns the problem document. */
+  public static JsonObject problemBody(Problem problem) {
+    JsonObject body =
+        new JsonObject()
+            .put("type", "about:blank")
+            .put("title", problem.code().code())
+            .put("status", problem.code().status())
+            .put("code", problem.code().code())
+            .put("detail", problem.detail())
+            .put("outcome", problem.code().outcome().wireName());
+    if (problem.retryAfterMs() > 0) {
+      body.put("retry_after_ms", problem.retryAfterMs());
+    }
+    return body;
+  }
+
+  private static long retryAfterSeconds(long retryAfterMs) {
+    return (retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND;
+  }
+
+  private static void whole(ReplySink sink, int status, Map<String, String> headers, Buffer body) {
+    if (sink.isClosed()) {
+      return;
+    }
+    headers.put("Content-Length", String.valueOf(body.length()));
+    sink.head(status, headers);
+    sink.write(body);
+    sink.end();
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/settings/SettingsBoard.java
@@ -0,0 +1,83 @@
+package io.magnoliaroute.daemon.settings;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.PoolId;
+import io.magnoliaroute.core.settings.EndpointSettings;
+import io.magnoliaroute.core.settings.PoolKind;
+import io.magnoliaroute.core.settings.PoolSettings;
+import io.magnoliaroute.core.settings.SettingsTree;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/** The settings in force, as an immutable snapshot that any thread may read. */
+public final class SettingsBoard {
+
+  private final List<Consumer<SettingsSnapshot>> listeners = new CopyOnWriteArrayList<>();
+  private volatile SettingsSnapshot current = new SettingsSnapshot(SettingsTree.empty(), -1);
+
+  /**
+   * A tree with its version and the look-ups that the request path needs.
+   *
+   * @param tree the tree
+   * @param version the offset of the newest accepted branch, -1 before the first
+   * @param poolOfModel the pool that serves each model
+   * @param endpoints every endpoint by its id
+   */
+  public record SettingsSnapshot(
+      SettingsTree tree,
+      long version,
+      Map<String, PoolSettings> poolOfModel,
+      Map<EndpointId, EndpointSettings> endpoints) {
+
+    /** Makes the look-ups of the tree. */
+    public SettingsSnapshot(SettingsTree tree, long version) {
+      this(tree, version, indexModels(tree), indexEndpoints(tree));
+    }
+
+    /** Returns the service pool of the name. */
+    public Optional<PoolSettings> service(PoolId id) {
+      return Optional.ofNullable(tree.pools().get(id))
+          .filter(pool -> pool.kind() == PoolKind.SERVICE);
+    }
+
+    private static Map<String, PoolSettings> indexModels(SettingsTree tree) {
+      Map<String, PoolSettings> pools = new HashMap<>();
+      for (PoolSettings pool : tree.pools().values()) {
+        for (String model : pool.models()) {
+          pools.putIfAbsent(model, pool);
+        }
+      }
+      return Map.copyOf(pools);
+    }
+
+    private static Map<EndpointId, EndpointSettings> indexEndpoints(SettingsTree tree) {
+      Map<EndpointId, EndpointSettings> endpoints = new HashMap<>();
+      for (PoolSettings pool : tree.pools().values()) {
+        pool.endpoints().forEach(endpoint -> endpoints.put(endpoint.id(), endpoint));
+      }
+      return Map.copyOf(endpoints);
+    }
+  }
+
+  /** Returns the snapshot in force. */
+  public SettingsSnapshot current() {
+    return current;
+  }
+
+  /** Puts a tree in force and tells the listeners, on the calling thread. */
+  public void put(SettingsTree tree, long version) {
+    SettingsSnapshot next = new SettingsSnapshot(tree, version);
+    current = next;
+    listeners.forEach(listener -> listener.accept(next));
+  }
+
+  /** Adds a listener and tells it the snapshot in force. */
+  public void listen(Consumer<SettingsSnapshot> listener) {
+    listeners.add(listener);
+    listener.accept(current);
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings in force on this VM. */
+package io.magnoliaroute.daemon.settings;
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/slot/LocalSlots.java
@@ -0,0 +1,125 @@
+package io.magnoliaroute.daemon.slot;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.schedule.CallObservation;
+import io.magnoliaroute.core.schedule.CallResult;
+import io.magnoliaroute.core.schedule.EndpointSpec;
+import io.magnoliaroute.core.schedule.SlotGrant;
+import io.magnoliaroute.core.schedule.WaitingCall;
+import io.magnoliaroute.core.settings.EndpointSettings;
+import io.magnoliaroute.core.settings.PoolSettings;
+import io.magnoliaroute.daemon.settings.SettingsBoard;
+import io.vertx.core.Vertx;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The groups that this VM schedules. */
+public final class LocalSlots implements Slots {
+
+  // Short against the 50 ms that an urgent call may wait beyond a batch step.
+  private static final long TICK_MS = 10;
+
+  private final InstantSource clock;
+  private final SettingsBoard settings;
+  private final DrainingEndpoints draining;
+  private final Map<String, GroupHost> groups = new ConcurrentHashMap<>();
+
+  /** Makes the groups of the settings, now and after each change. */
+  public LocalSlots(
+      Vertx vertx, InstantSource clock, SettingsBoard settings, DrainingEndpoints draining) {
+    this.clock = clock;
+    this.settings = settings;
+    this.draining = draining;
+    settings.listen(snapshot -> refresh());
+    draining.listen(this::refresh);
+    vertx.setPeriodic(TICK_MS, tick -> tick());
+  }
+
+  /** Returns the name of the pool's group. A pool is one group at today's sizes. */
+  public static String groupOf(PoolSettings pool) {
+    return pool.id().value() + "/0";
+  }
+
+  @Override
+  public void request(String group, WaitingCall call, SlotListener listener) {
+    group(group).offer(call, listener, clock.millis());
+  }
+
+  @Override
+  public void observe(String group, CallId id, CallObservation seen) {
+    group(group).observe(id, seen, clock.millis());
+  }
+
+  @Override
+  public void release(String group, CallId id, CallResult result) {
+    group(group).release(id, result, clock.millis());
+  }
+
+  @Override
+  public void cancel(String group, CallId id) {
+    group(group).cancel(id, clock.millis());
+  }
+
+  /** Takes over a grant that an earlier owner of the group made. */
+  public void restore(String group, WaitingCall call, SlotGrant held, SlotListener listener) {
+    group(group).restore(call, held, listener, clock.millis());
+  }
+
+  /** Forgets a program tree that ended. */
+  public void endProgram(ProgramId root) {
+    long nowMs = clock.millis();
+    groups.values().forEach(group -> group.endProgram(root, nowMs));
+  }
+
+  /** Returns the calls that wait in each group. */
+  public Map<String, Integer> waitingCounts() {
+    Map<String, Integer> counts = new TreeMap<>();
+    groups.forEach((name, host) -> counts.put(name, host.waitingCount()));
+    return counts;
+  }
+
+  private GroupHost group(String name) {
+    return groups.computeIfAbsent(name, this::newGroup);
+  }
+
+  private GroupHost newGroup(String name) {
+    GroupHost made = new GroupHost();
+    for (PoolSettings pool : settings.current().tree().pools().values()) {
+      if (groupOf(pool).equals(name)) {
+        made.putEndpoints(specs(pool));
+      }
+    }
+    return made;
+  }
+
+  private void refresh() {
+    for (PoolSettings pool : settings.current().tree().pools().values()) {
+      group(groupOf(pool)).putEndpoints(specs(pool));
+    }
+  }
+
+  private List<EndpointSpec> specs(PoolSettings pool) {
+    return pool.endpoints().stream().map(endpoint -> spec(pool, endpoint)).toList();
+  }
+
+  private EndpointSpec spec(PoolSettings pool, EndpointSettings endpoint) {
+    int reserved = Math.min(endpoint.urgentReservedSlots(), endpoint.windowSlots() - 1);
+    return new EndpointSpec(
+        endpoint.id(),
+        endpoint.dataCentre(),
+        endpoint.windowSlots(),
+        reserved,
+        Set.copyOf(pool.models()),
+        endpoint.draining() || draining.isDraining(endpoint.id()));
+  }
+
+  private void tick() {
+    long nowMs = clock.millis();
+    groups.values().forEach(group -> group.dispatch(nowMs));
+  }
+}
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/engine/EngineCall.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/engine/EngineCall.java
@@ -24,6 +24,7 @@
   private final boolean stream;
   private final List<String> messages;
   private final List<String> tokens;
+  private final int resumedTokens;
   private int cachedTokens;
   private int sent;
   private boolean ended;
@@ -42,8 +43,11 @@
     JsonObject request = context.body().asJsonObject();
     this.stream = request.getBoolean("stream", false);
     this.messages = messageTexts(request.getJsonArray("messages", new JsonArray()));
-    int count = request.getInteger("max_tokens", options.defaultTokens());
-    this.tokens = EngineText.tokens(messages, Math.min(count, 1_000_000));
+    int count = request.getInteger("max_tokens", options.answerTokens());
+    this.tokens = EngineText.tokens(messages, Math.min(count, options.answerTokens()));
+    this.resumedTokens =
+        Math.min(tokens.size(), EngineText.countTokens(request.getString("resume_text", "")));
+    this.sent = resumedTokens;
     String named = context.request().getHeader("Magnoliaroute-Call");
     this.id = named == null ? UUID.randomUUID().toString() : named;
     this.cacheKey = request.getString("prompt_cache_key", id);
@@ -199,8 +203,8 @@
     int prompt = EngineText.countTokens(messages);
     return new JsonObject()
         .put("prompt_tokens", prompt)
-        .put("completion_tokens", tokens.size())
-        .put("total_tokens", prompt + tokens.size())
+        .put("completion_tokens", tokens.size() - resumedTokens)
+        .put("total_tokens", prompt + tokens.size() - resumedTokens)
         .put("prompt_tokens_details", new JsonObject().put("cached_tokens", cachedTokens));
   }
 
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageCodec.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageCodec.java
@@ -1,7 +1,5 @@
 package io.magnoliaroute.wire;
 
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.DeserializationContext;
@@ -11,6 +9,8 @@
 import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+import io.magnoliaroute.core.membership.MalformedMessageException;
+import io.magnoliaroute.core.membership.MembershipCodec;
 import io.magnoliaroute.core.membership.MembershipMessage;
 import io.magnoliaroute.core.model.Bytes;
 import java.io.IOException;
@@ -33,7 +33,8 @@
     SimpleModule module = new SimpleModule();
     module.addSerializer(Bytes.class, new BytesSerializer());
     module.addDeserializer(Bytes.class, new BytesDeserializer());
-    module.setMixInAnnotation(MembershipMessage.class, MembershipTypes.class);
+    module.addSerializer(MembershipMessage.class, new MembershipSerializer());
+    module.addDeserializer(MembershipMessage.class, new MembershipDeserializer());
     mapper = new ObjectMapper(new MessagePackFactory());
     mapper.registerModule(module);
     mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
@@ -79,13 +80,40 @@
     }
   }
 
-  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
-  @JsonSubTypes({
-    @JsonSubTypes.Type(value = MembershipMessage.Ping.class, name = "ping"),
-    @JsonSubTypes.Type(value = MembershipMessage.PingReq.class, name = "ping_req"),
-    @JsonSubTypes.Type(value = MembershipMessage.Ack.class, name = "ack")
-  })
-  private interface MembershipTypes {}
+  private static final class MembershipSerializer extends StdSerializer<MembershipMessage> {
+
+    private static final long serialVersionUID = 1L;
+
+    MembershipSerializer() {
+      super(MembershipMessage.class);
+    }
+
+    @Override
+    public void serialize(
+        MembershipMessage value, JsonGenerator generator, SerializerProvider provider)
+        throws IOException {
+      generator.writeBinary(MembershipCodec.encode(value));
+    }
+  }
+
+  private static final class MembershipDeserializer extends StdDeserializer<MembershipMessage> {
+
+    private static final long serialVersionUID = 1L;
+
+    MembershipDeserializer() {
+      super(MembershipMessage.class);
+    }
+
+    @Override
+    public MembershipMessage deserialize(JsonParser parser, DeserializationContext context)
+        throws IOException {
+      try {
+        return MembershipCodec.decode(parser.getBinaryValue());
+      } catch (MalformedMessageException e) {
+        throw new IOException(e);
+      }
+    }
+  }
 
   private static final class BytesSerializer extends StdSerializer<Bytes> {
 
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -50,7 +50,7 @@
                 new PeerAddress("127.0.0.1", 7)),
             4,
             MemberState.SUSPECT);
-    Gossip gossip = new Gossip(delta, 9, -5, List.of(delta));
+    Gossip gossip = new Gossip(delta, 9, -5, 7, List.of(delta));
     WaitingCall waiting =
         WaitingCall.builder(CALL, new TeamId("team"), new DataCentreId("natal"))
             .prompt(10, Map.of(new EndpointId("e1"), 5))
