--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
@@ -2,7 +2,9 @@
 
 import io.magnoliaroute.core.log.LogPort;
 import io.magnoliaroute.core.log.WriterId;
+import io.magnoliaroute.core.membership.Member;
 import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.settings.Limits;
 import io.magnoliaroute.core.settings.ProcessSettings;
 import io.magnoliaroute.daemon.engine.EngineClient;
 import io.magnoliaroute.daemon.engine.EngineMemoryClient;
@@ -15,20 +17,26 @@
 import io.magnoliaroute.daemon.lifecycle.StopReport;
 import io.magnoliaroute.daemon.lifecycle.StopSequence;
 import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+import io.magnoliaroute.daemon.peer.MirroredTurns;
+import io.magnoliaroute.daemon.peer.PeerNode;
 import io.magnoliaroute.daemon.platform.BudgetDesk;
 import io.magnoliaroute.daemon.platform.ConfigFollower;
 import io.magnoliaroute.daemon.platform.ControlFollower;
+import io.magnoliaroute.daemon.program.PartitionHost;
 import io.magnoliaroute.daemon.program.Partitions;
 import io.magnoliaroute.daemon.program.ProgramMemory;
 import io.magnoliaroute.daemon.program.ProgramService;
 import io.magnoliaroute.daemon.program.ProgramServices;
 import io.magnoliaroute.daemon.program.RetryGuard;
+import io.magnoliaroute.daemon.request.RequestHandler;
 import io.magnoliaroute.daemon.settings.SettingsBoard;
 import io.magnoliaroute.daemon.slot.DrainingEndpoints;
 import io.magnoliaroute.daemon.slot.EngineMemory;
 import io.magnoliaroute.daemon.slot.LocalSlots;
+import io.magnoliaroute.wire.Handshake;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.security.SecureRandom;
 import java.time.InstantSource;
@@ -52,33 +60,47 @@
   private final EngineMemory engineMemory;
   private final ProgramMemory memory = new ProgramMemory();
   private final ProgramService programs;
+  private final RequestHandler handler;
   private final HttpFrontEnd frontEnd;
+  private final PeerNode peers;
+  private final MirroredTurns mirrored;
+  private final long startIncarnation;
+  private volatile WriterId writer;
+  private final Runnable onLeavingMarked;
+  private int peerPort;
 
   /** Makes a daemon; nothing runs before {@link #start}. */
-  public Daemon(Vertx vertx, ProcessSettings process, LogPort log, InstantSource clock) {
+  public Daemon(
+      Vertx vertx,
+      ProcessSettings process,
+      LogPort log,
+      InstantSource clock,
+      Runnable onLeavingMarked) {
+    this.onLeavingMarked = onLeavingMarked;
     this.vertx = vertx;
     this.process = process;
     this.clock = clock;
     SecureRandom random = new SecureRandom();
-    WriterId writer = new WriterId(process.vm(), clock.millis());
+    Limits limits = settings.current().tree().limits();
+    startIncarnation = clock.millis();
+    writer = new WriterId(process.vm(), startIncarnation);
     config = new ConfigFollower(log, settings, metrics);
     control = new ControlFollower(log, retries, draining, metrics);
     budgets =
         new BudgetDesk(
             vertx, log, clock, process.vm(), writer.toString(), config::versionOf, metrics);
     partitions =
-        new Partitions(
-            process.partitions(),
-            vertx,
-            log,
-            clock,
-            () -> writer,
-            settings.current().tree().limits(),
-            random);
+        new Partitions(process.partitions(), vertx, log, clock, () -> writer, limits, random);
     slots = new LocalSlots(vertx, clock, settings, draining);
+    mirrored = new MirroredTurns(process.partitions(), limits.unloggedBytes());
+    peers = new PeerNode(peerParts(limits));
     EngineTimeouts timeouts = EngineTimeouts.defaults();
     engineMemory =
-        new EngineMemory(settings, new EngineMemoryClient(vertx, timeouts), metrics, pool -> true);
+        new EngineMemory(
+            settings,
+            new EngineMemoryClient(vertx, timeouts),
+            metrics,
+            pool -> peers.ownsGroup(LocalSlots.groupOf(pool)));
     ProgramServices services =
         new ProgramServices(
             vertx,
@@ -87,16 +109,19 @@
             process.dataCentre(),
             settings,
             partitions,
-            slots,
+            peers.slots(),
             new EngineClient(vertx, timeouts),
             new ServiceClient(vertx, timeouts),
             budgets,
             retries,
             control,
-            (partition, program) -> {},
+            this::mirror,
             memory,
             metrics);
-    programs = new ProgramService(services, this::ended);
+    programs = new ProgramService(services, this::ended, mirrored::offer);
+    handler = peers.join(programs, readiness);
+    peers.onProgramEnded(
+        release -> endedElsewhere(release.program(), new ProgramId(release.group())));
     Authenticator authenticator = new Authenticator(process.operatorTokenHashes());
     settings.listen(snapshot -> authenticator.settings(snapshot.tree()));
     settings.listen(budgets::settings);
@@ -109,10 +134,16 @@
     metrics.gauge("unlogged_bytes", partitions::unloggedBytes);
     metrics.gauge("pending_records", () -> partitions.pendingRecords(clock.millis()));
     settings.listen(snapshot -> markReady());
-    config.start(vertx).onComplete(read -> markReady());
-    control.start(vertx);
-    vertx.setPeriodic(EngineMemory.LISTING_MS, timer -> engineMemory.poll());
-    return frontEnd.listen(process.httpListen(), eventLoops);
+    return peers
+        .start(startIncarnation)
+        .compose(
+            port -> {
+              peerPort = port;
+              config.start(vertx).onComplete(read -> markReady());
+              control.start(vertx);
+              vertx.setPeriodic(EngineMemory.LISTING_MS, timer -> engineMemory.poll());
+              return frontEnd.listen(process.httpListen(), eventLoops);
+            });
   }
 
   /** Returns the port that callers connect to. */
@@ -120,6 +151,16 @@
     return frontEnd.port();
   }
 
+  /** Returns the port that peers connect to. */
+  public int peerPort() {
+    return peerPort;
+  }
+
+  /** Returns this VM among its peers. */
+  public PeerNode peers() {
+    return peers;
+  }
+
   /** Returns the counters and histograms. */
   public DaemonMetrics metrics() {
     return metrics;
@@ -139,11 +180,11 @@
   public Future<StopReport> stop() {
     StopSequence.Steps steps =
         new StopSequence.Steps(
-            () -> {},
-            () -> 0,
+            peers::leave,
+            peers::servedRequests,
             budgets::drain,
             () -> partitions.pendingRecords(clock.millis()),
-            frontEnd::close,
+            () -> peers.stop().compose(stopped -> frontEnd.close()),
             drainTimeoutMs());
     return new StopSequence(vertx, clock, readiness, steps).run();
   }
@@ -155,7 +196,7 @@
         authenticator,
         readiness,
         metrics,
-        programs,
+        handler,
         new ProgramIds(random, process.partitions()),
         config,
         control,
@@ -170,9 +211,39 @@
     }
   }
 
+  private PeerNode.Parts peerParts(Limits limits) {
+    String secret =
+        process
+            .peerSecret()
+            .value()
+            .orElseThrow(() -> new IllegalArgumentException("the peer secret was not read"));
+    return new PeerNode.Parts(
+        vertx,
+        clock,
+        process,
+        Handshake.secret(secret),
+        limits.frameBytes(),
+        metrics,
+        config,
+        slots,
+        mirrored,
+        incarnation -> writer = new WriterId(process.vm(), incarnation),
+        onLeavingMarked);
+  }
+
+  private void mirror(int partition, ProgramId program) {
+    PartitionHost host = partitions.host(partition);
+    peers.mirror(partition, program, host.unloggedTurns(program));
+  }
+
   private void ended(ProgramId program, ProgramId root) {
-    engineMemory.ended(program);
     memory.cachedEndpoints(program).forEach(each -> engineMemory.release(each, program));
+    endedElsewhere(program, root);
+    peers.programEnded(program, root);
+  }
+
+  private void endedElsewhere(ProgramId program, ProgramId root) {
+    engineMemory.ended(program);
     if (program.equals(root)) {
       slots.endProgram(root);
     }
@@ -188,7 +259,20 @@
         .put("phase", readiness.phase().name())
         .put("requests_active", readiness.active())
         .put("settings_version", settings.current().version())
+        .put("members", members())
         .put("owned_partitions", partitions.owned().size())
         .put("waiting_calls", waiting);
   }
+
+  private JsonArray members() {
+    JsonArray members = new JsonArray();
+    for (Member member : peers.view().members()) {
+      members.add(
+          new JsonObject()
+              .put("vm", member.info().vm().value())
+              .put("data_centre", member.info().dataCentre().value())
+              .put("state", member.state().name()));
+    }
+    return members;
+  }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
@@ -16,6 +16,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -80,13 +81,17 @@
     HostPort address =
         new HostPort(http.substring(0, colon), Integer.parseInt(http.substring(colon + 1)));
     return Standalone.start(vertx, clock)
-        .map(world -> new Daemon(vertx, Standalone.process(address), world.log(), clock));
+        .map(
+            world ->
+                new Daemon(
+                    vertx, Standalone.process(address), world.log(), clock, DaemonMain::leave));
   }
 
   private static Future<Daemon> configured(Vertx vertx, InstantSource clock, String file) {
     ProcessSettings settings = read(file);
     return Future.succeededFuture(
-        new Daemon(vertx, settings, new HttpLogClient(vertx, settings.log()), clock));
+        new Daemon(
+            vertx, settings, new HttpLogClient(vertx, settings.log()), clock, DaemonMain::leave));
   }
 
   private static ProcessSettings read(String file) {
@@ -97,7 +102,7 @@
       if (result.value().isEmpty()) {
         System.exit(EXIT_FINDINGS);
       }
-      return result.value().orElseThrow();
+      return withSecret(result.value().orElseThrow());
     } catch (IOException e) {
       System.err.println("cannot read " + file + ": " + e.getMessage());
       System.exit(EXIT_USAGE);
@@ -105,9 +110,29 @@
     }
   }
 
+  private static ProcessSettings withSecret(ProcessSettings read) throws IOException {
+    if (read.peerSecret().file().isEmpty()) {
+      return read;
+    }
+    String secret = Files.readString(Path.of(read.peerSecret().file().get())).strip();
+    return new ProcessSettings(
+        read.vm(),
+        read.dataCentre(),
+        read.region(),
+        read.httpListen(),
+        read.peerListen(),
+        read.peers(),
+        read.vmList(),
+        read.log(),
+        read.partitions(),
+        new ProcessSettings.PeerSecret(Optional.of(secret), Optional.empty()),
+        read.operatorTokenHashes(),
+        read.tls());
+  }
+
   private static void started(Daemon daemon, Logger log) {
     log.infof("listening for callers on port %d", daemon.httpPort());
-    System.out.println("http_port " + daemon.httpPort());
+    System.out.println("http_port " + daemon.httpPort() + " peer_port " + daemon.peerPort());
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
   }
 
@@ -126,6 +151,11 @@
     Runtime.getRuntime().halt(code);
   }
 
+  /** Begins the planned stop that the platform's mark asks for. */
+  private static void leave() {
+    new Thread(() -> System.exit(StopReport.EXIT_OK), "leave").start();
+  }
+
   private static void usage(String problem) {
     System.err.println(problem);
     System.err.println("usage: magnoliaroute-daemon --settings FILE | --standalone");
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/Forwards.java
@@ -0,0 +1,141 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.daemon.request.CallerRequest;
+import io.magnoliaroute.daemon.request.Problem;
+import io.magnoliaroute.daemon.request.ProblemCode;
+import io.magnoliaroute.daemon.request.Replies;
+import io.magnoliaroute.daemon.request.ReplySink;
+import io.magnoliaroute.wire.PeerMessage;
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The requests that this front end forwarded to partition owners; kept on the peers' context. */
+final class Forwards {
+
+  private static final long RETRY_AFTER_MS = 500;
+
+  private record Key(VmId owner, CallId call) {}
+
+  private static final class Forward {
+    private final ReplySink sink;
+    private boolean headSent;
+
+    Forward(ReplySink sink) {
+      this.sink = sink;
+    }
+  }
+
+  private final Context context;
+  private final PeerLinks links;
+  private final Map<Key, Forward> forwards = new HashMap<>();
+
+  Forwards(Context context, PeerLinks links) {
+    this.context = context;
+    this.links = links;
+  }
+
+  /** Sends the request to the owner and its answer to the sink. */
+  void forward(VmId owner, CallerRequest request, ReplySink sink) {
+    List<PeerMessage.HeaderField> fields = new ArrayList<>();
+    request.fields().forEach((name, value) -> fields.add(new PeerMessage.HeaderField(name, value)));
+    PeerMessage.ProgramOpen open =
+        new PeerMessage.ProgramOpen(
+            request.call(),
+            request.kind().wireName(),
+            request.team(),
+            request.forwards(),
+            fields,
+            request.body());
+    Key key = new Key(owner, request.call());
+    sink.onClose(() -> context.runOnContext(run -> cancel(key)));
+    context.runOnContext(run -> send(key, open, sink));
+  }
+
+  private void send(Key key, PeerMessage.ProgramOpen open, ReplySink sink) {
+    forwards.put(key, new Forward(sink));
+    links
+        .send(key.owner(), open)
+        .onFailure(
+            failure -> {
+              if (forwards.remove(key) != null) {
+                reply(sink, ProblemCode.OWNER_UNREACHABLE, "the owner was not reached");
+              }
+            });
+  }
+
+  void head(VmId from, PeerMessage.ProgramHead head) {
+    Forward forward = forwards.get(new Key(from, head.call()));
+    if (forward == null) {
+      return;
+    }
+    forward.headSent = true;
+    Map<String, String> headers = new HashMap<>();
+    head.fields().forEach(field -> headers.put(field.name(), field.value()));
+    forward.sink.context().runOnContext(run -> forward.sink.head(head.status(), headers));
+  }
+
+  void chunk(VmId from, PeerMessage.ProgramChunk chunk) {
+    Key key = new Key(from, chunk.call());
+    Forward forward = forwards.get(key);
+    if (forward == null) {
+      return;
+    }
+    ReplySink sink = forward.sink;
+    sink.context()
+        .runOnContext(
+            run -> {
+              sink.write(Buffer.buffer(chunk.content().toArray()));
+              if (sink.isFull()) {
+                sink.onDrain(() -> credit(key, chunk.content().sizeBytes()));
+              } else {
+                credit(key, chunk.content().sizeBytes());
+              }
+            });
+  }
+
+  void close(VmId from, CallId call) {
+    Forward forward = forwards.remove(new Key(from, call));
+    if (forward != null) {
+      forward.sink.context().runOnContext(run -> forward.sink.end());
+    }
+  }
+
+  /** Ends what was forwarded to an owner that is gone; what ran there is not known. */
+  void ownerGone(VmId owner) {
+    List<Key> gone = forwards.keySet().stream().filter(key -> key.owner().equals(owner)).toList();
+    for (Key key : gone) {
+      Forward forward = forwards.remove(key);
+      if (forward.headSent) {
+        forward.sink.context().runOnContext(run -> forward.sink.abort());
+      } else {
+        reply(forward.sink, ProblemCode.OWNER_CHANGED, "the owner was lost");
+      }
+    }
+  }
+
+  private void cancel(Key key) {
+    if (forwards.remove(key) != null) {
+      links.send(key.owner(), new PeerMessage.ProgramCancel(key.call()));
+    }
+  }
+
+  private void credit(Key key, int bytes) {
+    context.runOnContext(
+        run -> {
+          if (forwards.containsKey(key)) {
+            links.send(key.owner(), new PeerMessage.ProgramCredit(key.call(), bytes));
+          }
+        });
+  }
+
+  private static void reply(ReplySink sink, ProblemCode code, String detail) {
+    sink.context()
+        .runOnContext(run -> Replies.problem(sink, new Problem(code, detail, RETRY_AFTER_MS)));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/OutgoingLink.java
@@ -0,0 +1,135 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.membership.PeerAddress;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.wire.PeerMessage;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+/**
+ * The connection that this VM opens to one peer, with the messages that wait for it. After a
+ * failure it connects again with growing, jittered waits.
+ */
+final class OutgoingLink {
+
+  private static final int MAX_WAITING = 1_000;
+  private static final long MIN_BACKOFF_MS = 50;
+  private static final long MAX_BACKOFF_MS = 2_000;
+  private static final int MAX_DOUBLINGS = 6;
+
+  private record Waiting(PeerMessage message, Promise<Void> written) {}
+
+  private final VmId peer;
+  private final Function<PeerAddress, Future<PeerLink>> connector;
+  private final Vertx vertx;
+  private final RandomGenerator random;
+  private final Deque<Waiting> waiting = new ArrayDeque<>();
+  private PeerLink pending;
+  private PeerLink link;
+  private boolean connecting;
+  private boolean backingOff;
+  private boolean closed;
+  private int failures;
+
+  OutgoingLink(
+      VmId peer,
+      Function<PeerAddress, Future<PeerLink>> connector,
+      Vertx vertx,
+      RandomGenerator random) {
+    this.peer = peer;
+    this.connector = connector;
+    this.vertx = vertx;
+    this.random = random;
+  }
+
+  Future<Void> send(PeerMessage message, PeerAddress address) {
+    if (link != null) {
+      link.send(message);
+      return Future.succeededFuture();
+    }
+    if (backingOff || waiting.size() >= MAX_WAITING) {
+      return Future.failedFuture("no connection to " + peer);
+    }
+    Promise<Void> written = Promise.promise();
+    waiting.add(new Waiting(message, written));
+    connect(address);
+    return written.future();
+  }
+
+  void authenticated(PeerLink opened) {
+    if (closed || !peer.equals(opened.peer())) {
+      opened.close();
+      return;
+    }
+    link = opened;
+    pending = null;
+    connecting = false;
+    failures = 0;
+    while (!waiting.isEmpty()) {
+      Waiting next = waiting.poll();
+      opened.send(next.message());
+      next.written().complete();
+    }
+  }
+
+  /** Takes the end of a connection; returns whether it was the one in use. */
+  boolean closed(PeerLink ended) {
+    if (ended == link) {
+      link = null;
+      return true;
+    }
+    if (ended == pending) {
+      pending = null;
+      failed();
+    }
+    return false;
+  }
+
+  void close() {
+    closed = true;
+    if (link != null) {
+      link.close();
+      link = null;
+    }
+    dropWaiting();
+  }
+
+  private void connect(PeerAddress address) {
+    if (connecting) {
+      return;
+    }
+    connecting = true;
+    connector
+        .apply(address)
+        .onSuccess(
+            opened -> {
+              if (!opened.isAuthenticated()) {
+                pending = opened;
+              }
+            })
+        .onFailure(failure -> failed());
+  }
+
+  private void failed() {
+    connecting = false;
+    dropWaiting();
+    if (closed) {
+      return;
+    }
+    long backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS << Math.min(failures, MAX_DOUBLINGS));
+    failures++;
+    backingOff = true;
+    vertx.setTimer(backoffMs / 2 + 1 + random.nextLong(backoffMs / 2), timer -> backingOff = false);
+  }
+
+  private void dropWaiting() {
+    while (!waiting.isEmpty()) {
+      waiting.poll().written().fail("no connection to " + peer);
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/OwnerRouter.java
@@ -0,0 +1,70 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.membership.MembershipView;
+import io.magnoliaroute.core.membership.Rendezvous;
+import io.magnoliaroute.core.model.RegionId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.daemon.request.CallerRequest;
+import io.magnoliaroute.daemon.request.ReplySink;
+import io.magnoliaroute.daemon.request.RequestHandler;
+import io.magnoliaroute.daemon.request.RequestKind;
+import java.util.function.Supplier;
+
+/** Passes each request to the owner of its program's partition, this VM or a peer. */
+final class OwnerRouter implements RequestHandler {
+
+  // Views may differ for a moment; a request that was passed on this often stays where it is.
+  private static final int MAX_FORWARDS = 2;
+
+  private final VmId self;
+  private final RegionId region;
+  private final int partitions;
+  private final Supplier<MembershipView> views;
+  private final Forwards forwards;
+  private final RequestHandler local;
+  private final ProgramLists lists;
+
+  OwnerRouter(
+      VmId self,
+      RegionId region,
+      int partitions,
+      Supplier<MembershipView> views,
+      Forwards forwards,
+      RequestHandler local) {
+    this.self = self;
+    this.region = region;
+    this.partitions = partitions;
+    this.views = views;
+    this.forwards = forwards;
+    this.local = local;
+    this.lists = new ProgramLists(self, forwards, local);
+  }
+
+  @Override
+  public void handle(CallerRequest request, ReplySink sink) {
+    if (request.kind() == RequestKind.LIST) {
+      if (request.forwards() > 0) {
+        local.handle(request, sink);
+      } else {
+        lists.collect(views.get().owners(region), request.forwarded(), sink);
+      }
+      return;
+    }
+    VmId owner = ownerOf(request.program().partition(partitions));
+    if (owner.equals(self) || request.forwards() >= MAX_FORWARDS) {
+      local.handle(request, sink);
+      return;
+    }
+    forwards.forward(owner, request.forwarded(), sink);
+  }
+
+  /** Returns the owner of the partition; this VM where the view names none. */
+  VmId ownerOf(int partition) {
+    return views.get().owner(Rendezvous.partitionKey(partition), region).orElse(self);
+  }
+
+  /** Returns the owner of the group; this VM where the view names none. */
+  VmId ownerOfGroup(String group) {
+    return views.get().owner(Rendezvous.groupKey(group), region).orElse(self);
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/PeerLinks.java
@@ -0,0 +1,199 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.membership.PeerAddress;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+import io.magnoliaroute.wire.Handshake;
+import io.magnoliaroute.wire.MessageCodec;
+import io.magnoliaroute.wire.PeerMessage;
+import io.magnoliaroute.wire.WireException;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * The connections to all peers. A VM sends on the connection that it opened and receives on those
+ * that it accepted. Everything runs on one event loop, the peers' context.
+ */
+final class PeerLinks implements PeerLink.Owner {
+
+  private static final int CONNECT_TIMEOUT_MS = 500;
+  private static final long HANDSHAKE_TIMEOUT_MS = 2_000;
+
+  private final Vertx vertx;
+  private final Context context;
+  private final Supplier<Handshake> handshakes;
+  private final int maxFrameBytes;
+  private final SecureRandom random;
+  private final DaemonMetrics metrics;
+  private final Function<VmId, Optional<PeerAddress>> addresses;
+  private final MessageCodec codec = new MessageCodec();
+  private final Map<VmId, OutgoingLink> outgoing = new HashMap<>();
+  private final Set<PeerLink> accepted = new HashSet<>();
+  private final NetClient client;
+  private Receiver receiver;
+  private NetServer server;
+
+  /** Takes what peers send. */
+  interface Receiver {
+
+    /** Takes a message. */
+    void received(VmId from, PeerMessage message);
+
+    /** Says that nothing more comes from the peer on a connection that it had opened. */
+    void incomingClosed(VmId peer);
+
+    /** Says that what was sent to the peer may be lost. */
+    void outgoingClosed(VmId peer);
+  }
+
+  PeerLinks(
+      Vertx vertx,
+      Context context,
+      Supplier<Handshake> handshakes,
+      int maxFrameBytes,
+      SecureRandom random,
+      DaemonMetrics metrics,
+      Function<VmId, Optional<PeerAddress>> addresses) {
+    this.vertx = vertx;
+    this.context = context;
+    this.handshakes = handshakes;
+    this.maxFrameBytes = maxFrameBytes;
+    this.random = random;
+    this.metrics = metrics;
+    this.addresses = addresses;
+    this.client =
+        vertx.createNetClient(
+            new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
+  }
+
+  void setReceiver(Receiver newReceiver) {
+    receiver = newReceiver;
+  }
+
+  /** Listens for peers; returns the port. */
+  Future<Integer> listen(HostPort address) {
+    server =
+        vertx.createNetServer(
+            new NetServerOptions()
+                .setHost(address.host())
+                .setPort(address.port())
+                .setTcpNoDelay(true));
+    return server.connectHandler(this::accept).listen().map(NetServer::actualPort);
+  }
+
+  /**
+   * Sends a message; completes when it was written to an authenticated connection and fails when it
+   * was dropped before that, so that the peer has not seen it.
+   */
+  Future<Void> send(VmId to, PeerMessage message) {
+    Optional<PeerAddress> address = addresses.apply(to);
+    if (address.isEmpty()) {
+      return Future.failedFuture("no address of " + to);
+    }
+    return outgoing
+        .computeIfAbsent(to, vm -> new OutgoingLink(vm, this::connect, vertx, random))
+        .send(message, address.get());
+  }
+
+  /** Closes the connection to a peer that is held for dead. */
+  void drop(VmId peer) {
+    OutgoingLink link = outgoing.remove(peer);
+    if (link != null) {
+      link.close();
+      receiver.outgoingClosed(peer);
+    }
+  }
+
+  Future<Void> close() {
+    outgoing.values().forEach(OutgoingLink::close);
+    Set.copyOf(accepted).forEach(PeerLink::close);
+    return server == null ? Future.succeededFuture() : server.close();
+  }
+
+  @Override
+  public void received(PeerLink link, PeerMessage message) {
+    if (link.isConnecting()) {
+      rejected(
+          new WireException(
+              WireException.Kind.UNEXPECTED_MESSAGE, "a message on an outgoing connection"));
+      link.close();
+      return;
+    }
+    receiver.received(link.peer(), message);
+  }
+
+  @Override
+  public void authenticated(PeerLink link) {
+    metrics.count("peer_connections");
+    if (link.isConnecting() && outgoing.containsKey(link.peer())) {
+      outgoing.get(link.peer()).authenticated(link);
+    }
+  }
+
+  @Override
+  public void closed(PeerLink link) {
+    accepted.remove(link);
+    if (!link.isAuthenticated()) {
+      outgoing.values().forEach(each -> each.closed(link));
+      return;
+    }
+    if (!link.isConnecting()) {
+      receiver.incomingClosed(link.peer());
+      return;
+    }
+    OutgoingLink closing = outgoing.get(link.peer());
+    if (closing != null && closing.closed(link)) {
+      receiver.outgoingClosed(link.peer());
+    }
+  }
+
+  @Override
+  public void rejected(WireException problem) {
+    metrics.count("peer_frames_rejected", "kind", problem.kind().wireName());
+  }
+
+  private void accept(NetSocket socket) {
+    context.runOnContext(
+        run -> {
+          PeerLink link = PeerLink.accepted(socket, codec, this, handshakes.get(), maxFrameBytes);
+          accepted.add(link);
+          closeUnlessAuthenticated(link);
+        });
+  }
+
+  private Future<PeerLink> connect(PeerAddress address) {
+    return client
+        .connect(address.port(), address.host())
+        .map(
+            socket -> {
+              PeerLink link = PeerLink.opened(socket, codec, this, handshakes.get(), maxFrameBytes);
+              closeUnlessAuthenticated(link);
+              return link;
+            });
+  }
+
+  private void closeUnlessAuthenticated(PeerLink link) {
+    vertx.setTimer(
+        HANDSHAKE_TIMEOUT_MS,
+        timer -> {
+          if (!link.isAuthenticated()) {
+            link.close();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/PeerNode.java
@@ -0,0 +1,382 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.config.ConfigFormatException;
+import io.magnoliaroute.core.log.MalformedRecordException;
+import io.magnoliaroute.core.membership.MemberInfo;
+import io.magnoliaroute.core.membership.MemberState;
+import io.magnoliaroute.core.membership.MembershipController;
+import io.magnoliaroute.core.membership.MembershipEvent;
+import io.magnoliaroute.core.membership.MembershipSettings;
+import io.magnoliaroute.core.membership.MembershipView;
+import io.magnoliaroute.core.membership.Outgoing;
+import io.magnoliaroute.core.membership.PeerAddress;
+import io.magnoliaroute.core.membership.PlatformList;
+import io.magnoliaroute.core.membership.Rendezvous;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.program.Turn;
+import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.core.settings.ProcessSettings;
+import io.magnoliaroute.daemon.lifecycle.Readiness;
+import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+import io.magnoliaroute.daemon.platform.ConfigFollower;
+import io.magnoliaroute.daemon.program.ProgramService;
+import io.magnoliaroute.daemon.request.RequestHandler;
+import io.magnoliaroute.daemon.slot.LocalSlots;
+import io.magnoliaroute.daemon.slot.Slots;
+import io.magnoliaroute.wire.Handshake;
+import io.magnoliaroute.wire.PeerMessage;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.security.SecureRandom;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.jboss.logging.Logger;
+
+/** This VM among its peers: membership, forwarded requests, slots, settings, mirrored history. */
+public final class PeerNode implements PeerLinks.Receiver {
+
+  private static final Logger LOG = Logger.getLogger(PeerNode.class);
+
+  private final Vertx vertx;
+  private final Context context;
+  private final InstantSource clock;
+  private final ProcessSettings process;
+  private final SecureRandom random;
+  private final DaemonMetrics metrics;
+  private final ConfigFollower config;
+  private final MirroredTurns mirrored;
+  private final PeerLinks links;
+  private final Forwards forwards;
+  private final RemoteSlots slots;
+  private final ServedSlots servedSlots;
+  private final LocalSlots localSlots;
+  private final LongConsumer onIncarnation;
+  private final Runnable onLeavingMarked;
+  private Consumer<PeerMessage.CacheRelease> programEndedElsewhere = release -> {};
+  private OwnerRouter router;
+  private ServedRequests served;
+  private volatile MembershipController membership;
+
+  /**
+   * What the node uses.
+   *
+   * @param vertx event loops
+   * @param clock the wall clock
+   * @param process the settings of this process
+   * @param secret the shared secret
+   * @param maxFrameBytes the longest frame
+   * @param metrics counters
+   * @param config settings to exchange
+   * @param localSlots the groups that this VM schedules
+   * @param mirrored where peers' unlogged turns are kept
+   * @param onIncarnation takes the incarnation that this VM writes under after a pause
+   * @param onLeavingMarked runs when the platform marks this VM as leaving
+   */
+  public record Parts(
+      Vertx vertx,
+      InstantSource clock,
+      ProcessSettings process,
+      Bytes secret,
+      int maxFrameBytes,
+      DaemonMetrics metrics,
+      ConfigFollower config,
+      LocalSlots localSlots,
+      MirroredTurns mirrored,
+      LongConsumer onIncarnation,
+      Runnable onLeavingMarked) {}
+
+  /** Makes a node that is not listening yet. */
+  public PeerNode(Parts parts) {
+    this.vertx = parts.vertx();
+    this.context = vertx.getOrCreateContext();
+    this.clock = parts.clock();
+    this.process = parts.process();
+    this.metrics = parts.metrics();
+    this.config = parts.config();
+    this.mirrored = parts.mirrored();
+    this.localSlots = parts.localSlots();
+    this.onIncarnation = parts.onIncarnation();
+    this.onLeavingMarked = parts.onLeavingMarked();
+    this.random = new SecureRandom();
+    this.links =
+        new PeerLinks(
+            vertx,
+            context,
+            () -> new Handshake(process.vm(), parts.secret(), random),
+            parts.maxFrameBytes(),
+            random,
+            metrics,
+            vm -> membership.address(vm));
+    links.setReceiver(this);
+    this.forwards = new Forwards(context, links);
+    this.slots =
+        new RemoteSlots(
+            context, links, localSlots, process.vm(), group -> router.ownerOfGroup(group));
+    this.servedSlots = new ServedSlots(context, links, localSlots);
+  }
+
+  /** Returns the slots of all groups, wherever they are owned. */
+  public Slots slots() {
+    return slots;
+  }
+
+  /** Joins the node to the programs; returns the handler of callers' requests. */
+  public RequestHandler join(ProgramService programs, Readiness readiness) {
+    router =
+        new OwnerRouter(
+            process.vm(), process.region(), process.partitions(), this::view, forwards, programs);
+    served = new ServedRequests(context, links, router, readiness);
+    return router;
+  }
+
+  /** Listens for peers and starts to probe; completes with the port. */
+  public Future<Integer> start(long incarnation) {
+    Promise<Integer> promise = Promise.promise();
+    context.runOnContext(
+        run ->
+            links
+                .listen(process.peerListen())
+                .onSuccess(
+                    port -> {
+                      begin(port, incarnation);
+                      promise.complete(port);
+                    })
+                .onFailure(promise::fail));
+    return promise.future();
+  }
+
+  /** Returns the table of VMs. */
+  public MembershipView view() {
+    return membership.view();
+  }
+
+  /** Returns whether this VM owns the group. */
+  public boolean ownsGroup(String group) {
+    return router.ownerOfGroup(group).equals(process.vm());
+  }
+
+  /** Returns the requests that run here for other front ends. */
+  public int servedRequests() {
+    return served.running();
+  }
+
+  /** Adds a peer to probe. */
+  public void addSeed(VmId vm, HostPort address) {
+    context.runOnContext(
+        run -> membership.addSeed(vm, new PeerAddress(address.host(), address.port())));
+  }
+
+  /** Takes an answer of the platform's VM list. */
+  public void platformList(PlatformList list) {
+    context.runOnContext(run -> membership.applyPlatformList(list, clock.millis()));
+  }
+
+  /** Tells peers that this VM is leaving. */
+  public void leave() {
+    context.runOnContext(run -> sendAll(membership.leave(clock.millis())));
+  }
+
+  /** Tells peers that this VM has stopped and closes the connections. */
+  public Future<Void> stop() {
+    Promise<Void> promise = Promise.promise();
+    context.runOnContext(
+        run -> {
+          sendAll(membership.stopped(clock.millis()));
+          // One turn of the event loop lets the messages out before the sockets close.
+          vertx.setTimer(50, timer -> links.close().onComplete(closed -> promise.complete()));
+        });
+    return promise.future();
+  }
+
+  /** Copies turns that are not logged to the VM that would own the partition without this one. */
+  public void mirror(int partition, ProgramId program, List<Turn> turns) {
+    context.runOnContext(
+        run -> {
+          Optional<VmId> next = nextOwner(partition);
+          if (next.isEmpty()) {
+            metrics.count("turns_not_mirrored");
+            return;
+          }
+          for (Turn turn : turns) {
+            links.send(
+                next.get(),
+                new PeerMessage.HistoryMirror(
+                    partition, program, turn.number(), MirroredTurns.encode(turn)));
+          }
+        });
+  }
+
+  /** Tells every peer that a program ended. */
+  public void programEnded(ProgramId program, ProgramId root) {
+    context.runOnContext(
+        run -> {
+          for (VmId vm : view().owners(process.region())) {
+            if (!vm.equals(process.vm())) {
+              links.send(vm, new PeerMessage.CacheRelease(root.value(), program));
+            }
+          }
+        });
+  }
+
+  @Override
+  public void received(VmId from, PeerMessage message) {
+    if (message instanceof PeerMessage.Membership probe) {
+      sendAll(membership.receive(from, probe.message(), clock.millis()));
+      takeEvents();
+    } else if (message instanceof PeerMessage.ProgramChunk chunk) {
+      forwards.chunk(from, chunk);
+    } else if (message instanceof PeerMessage.ProgramOpen open) {
+      served.open(from, open);
+    } else if (message instanceof PeerMessage.ProgramHead head) {
+      forwards.head(from, head);
+    } else if (message instanceof PeerMessage.ProgramClose close) {
+      forwards.close(from, close.call());
+    } else if (message instanceof PeerMessage.ProgramCancel cancel) {
+      served.cancel(from, cancel.call());
+    } else if (message instanceof PeerMessage.ProgramCredit credit) {
+      served.credit(from, credit.call(), credit.bytes());
+    } else {
+      receivedSlotOrState(from, message);
+    }
+  }
+
+  @Override
+  public void incomingClosed(VmId peer) {
+    served.closeFrontEnd(peer);
+  }
+
+  @Override
+  public void outgoingClosed(VmId peer) {
+    forwards.ownerGone(peer);
+    slots.ownerGone(peer);
+  }
+
+  private void receivedSlotOrState(VmId from, PeerMessage message) {
+    if (message instanceof PeerMessage.SlotRequest request) {
+      servedSlots.request(from, request);
+    } else if (message instanceof PeerMessage.SlotGrant granted) {
+      slots.granted(from, granted);
+    } else if (message instanceof PeerMessage.SlotRefusal refusal) {
+      slots.refused(from, refusal);
+    } else if (message instanceof PeerMessage.SlotProgress progress) {
+      localSlots.observe(progress.group(), progress.call(), progress.seen());
+    } else if (message instanceof PeerMessage.SlotRelease release) {
+      localSlots.release(release.group(), release.call(), release.result());
+    } else if (message instanceof PeerMessage.SlotCancel cancel) {
+      localSlots.cancel(cancel.group(), cancel.call());
+    } else if (message instanceof PeerMessage.SlotPreempt order) {
+      slots.preempted(order);
+    } else if (message instanceof PeerMessage.SlotReport report) {
+      servedSlots.report(from, report);
+    } else {
+      receivedState(from, message);
+    }
+  }
+
+  private void receivedState(VmId from, PeerMessage message) {
+    try {
+      if (message instanceof PeerMessage.ConfigPull pull) {
+        Bytes answer = config.answer(pull.summary());
+        links.send(from, new PeerMessage.ConfigPush(pull.request(), answer));
+      } else if (message instanceof PeerMessage.ConfigPush push) {
+        config
+            .take(push.branches())
+            .ifPresent(next -> links.send(from, new PeerMessage.ConfigPull(0, next)));
+      } else if (message instanceof PeerMessage.HistoryMirror mirror) {
+        Turn turn = MirroredTurns.decode(mirror.content());
+        boolean kept = mirrored.keep(mirror.partition(), mirror.program(), turn);
+        metrics.count(kept ? "turns_mirrored_here" : "mirrored_turns_refused");
+      } else if (message instanceof PeerMessage.CacheRelease release) {
+        programEndedElsewhere.accept(release);
+      } else {
+        metrics.count("peer_unexpected_messages");
+      }
+    } catch (ConfigFormatException | MalformedRecordException e) {
+      metrics.count("peer_malformed_payloads");
+    }
+  }
+
+  /** Sets what takes the endings of programs that other VMs own. */
+  public void onProgramEnded(Consumer<PeerMessage.CacheRelease> listener) {
+    programEndedElsewhere = listener;
+  }
+
+  private void begin(int port, long incarnation) {
+    MemberInfo self =
+        new MemberInfo(
+            process.vm(),
+            process.dataCentre(),
+            process.region(),
+            new PeerAddress(process.peerListen().host(), port));
+    membership =
+        new MembershipController(
+            self, incarnation, MembershipSettings.defaults(), random, clock.millis());
+    for (ProcessSettings.Peer peer : process.peers()) {
+      if (!peer.vm().equals(process.vm())) {
+        HostPort address = peer.address();
+        membership.addSeed(peer.vm(), new PeerAddress(address.host(), address.port()));
+      }
+    }
+    vertx.setPeriodic(MembershipController.TICK_MS, tick -> tick());
+  }
+
+  private void tick() {
+    membership.configVersion(config.version());
+    sendAll(membership.tick(clock.millis()));
+    takeEvents();
+  }
+
+  private void sendAll(List<Outgoing> messages) {
+    for (Outgoing each : messages) {
+      links.send(each.to(), new PeerMessage.Membership(each.message()));
+    }
+  }
+
+  private void takeEvents() {
+    for (MembershipEvent event : membership.takeEvents()) {
+      if (event instanceof MembershipEvent.StateChanged changed) {
+        stateChanged(changed);
+      } else if (event instanceof MembershipEvent.OwnPauseDetected pause) {
+        LOG.warnf("paused for %d ms, now incarnation %d", pause.gapMs(), pause.incarnation());
+        onIncarnation.accept(pause.incarnation());
+      } else if (event instanceof MembershipEvent.OwnStateRefuted refuted) {
+        LOG.warnf("was held for %s, now incarnation %d", refuted.refuted(), refuted.incarnation());
+        onIncarnation.accept(refuted.incarnation());
+      } else if (event instanceof MembershipEvent.OwnLeavingMarked) {
+        onLeavingMarked.run();
+      } else if (event instanceof MembershipEvent.NewerConfigSeen newer) {
+        config
+            .pullIfBehind(newer.configVersion())
+            .ifPresent(pull -> links.send(newer.vm(), new PeerMessage.ConfigPull(0, pull)));
+      }
+    }
+  }
+
+  private void stateChanged(MembershipEvent.StateChanged changed) {
+    metrics.count("member_state_changes", "to", changed.to().name());
+    if (changed.vm().equals(process.vm())) {
+      return;
+    }
+    LOG.infof("%s is %s, was %s", changed.vm(), changed.to(), changed.from());
+    if (changed.to() == MemberState.DEAD) {
+      links.drop(changed.vm());
+      served.closeFrontEnd(changed.vm());
+    }
+  }
+
+  private Optional<VmId> nextOwner(int partition) {
+    return view()
+        .owner(
+            Rendezvous.partitionKey(partition),
+            member ->
+                member.info().region().equals(process.region())
+                    && !member.info().vm().equals(process.vm()));
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/ProgramLists.java
@@ -0,0 +1,144 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.daemon.request.CallerRequest;
+import io.magnoliaroute.daemon.request.Replies;
+import io.magnoliaroute.daemon.request.ReplySink;
+import io.magnoliaroute.daemon.request.RequestHandler;
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.Map;
+
+/** Collects the programs that each VM owns into one list. */
+final class ProgramLists {
+
+  private final VmId self;
+  private final Forwards forwards;
+  private final RequestHandler local;
+
+  ProgramLists(VmId self, Forwards forwards, RequestHandler local) {
+    this.self = self;
+    this.forwards = forwards;
+    this.local = local;
+  }
+
+  void collect(List<VmId> owners, CallerRequest request, ReplySink sink) {
+    Collection collection = new Collection(sink, Math.max(1, owners.size()));
+    if (owners.isEmpty()) {
+      local.handle(request, new Part(collection));
+      return;
+    }
+    for (VmId owner : owners) {
+      Part part = new Part(collection);
+      if (owner.equals(self)) {
+        local.handle(request, part);
+      } else {
+        CallId call = new CallId(new ProgramId(owner.value()), 0, request.call().attempt());
+        forwards.forward(
+            owner,
+            new CallerRequest(
+                call,
+                request.kind(),
+                request.team(),
+                request.forwards(),
+                request.fields(),
+                request.body()),
+            part);
+      }
+    }
+  }
+
+  /** The list so far; used on the context of the caller's sink. */
+  private static final class Collection {
+    private final ReplySink sink;
+    private final JsonArray programs = new JsonArray();
+    private int missing;
+    private int unreachable;
+
+    Collection(ReplySink sink, int missing) {
+      this.sink = sink;
+      this.missing = missing;
+    }
+
+    void add(Buffer body) {
+      try {
+        JsonArray part = body.toJsonObject().getJsonArray("programs");
+        if (part == null) {
+          unreachable++;
+        } else {
+          part.forEach(programs::add);
+        }
+      } catch (DecodeException e) {
+        unreachable++;
+      }
+      missing--;
+      if (missing == 0) {
+        Replies.done(
+            sink,
+            200,
+            new JsonObject().put("programs", programs).put("unreachable_vms", unreachable));
+      }
+    }
+  }
+
+  /** Takes one VM's part of the list. */
+  private static final class Part implements ReplySink {
+    private final Collection collection;
+    private final Buffer body = Buffer.buffer();
+
+    Part(Collection collection) {
+      this.collection = collection;
+    }
+
+    @Override
+    public Context context() {
+      return collection.sink.context();
+    }
+
+    @Override
+    public void head(int status, Map<String, String> headers) {
+      // The body alone says whether the part is a list.
+    }
+
+    @Override
+    public void write(Buffer part) {
+      body.appendBuffer(part);
+    }
+
+    @Override
+    public boolean isFull() {
+      return false;
+    }
+
+    @Override
+    public void onDrain(Runnable action) {
+      action.run();
+    }
+
+    @Override
+    public void end() {
+      collection.add(body);
+    }
+
+    @Override
+    public void abort() {
+      collection.add(Buffer.buffer());
+    }
+
+    @Override
+    public void onClose(Runnable action) {
+      // A part is always read to its end.
+    }
+
+    @Override
+    public boolean isClosed() {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/RemoteSlots.java
@@ -0,0 +1,184 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.schedule.CallEnding;
+import io.magnoliaroute.core.schedule.CallObservation;
+import io.magnoliaroute.core.schedule.CallResult;
+import io.magnoliaroute.core.schedule.SlotGrant;
+import io.magnoliaroute.core.schedule.WaitingCall;
+import io.magnoliaroute.daemon.slot.LocalSlots;
+import io.magnoliaroute.daemon.slot.SlotListener;
+import io.magnoliaroute.daemon.slot.Slots;
+import io.magnoliaroute.wire.PeerMessage;
+import io.vertx.core.Context;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * Asks the owner of each group for slots, this VM or a peer. A call stays with the owner that it
+ * asked; when that one is gone, a waiting call asks the new owner and a held grant is reported to
+ * it.
+ */
+final class RemoteSlots implements Slots {
+
+  private static final long RETRY_AFTER_MS = 500;
+
+  private static final class Asked {
+    private final String group;
+    private final WaitingCall call;
+    private final SlotListener listener;
+    private VmId owner;
+    private SlotGrant grant;
+
+    Asked(String group, WaitingCall call, SlotListener listener, VmId owner) {
+      this.group = group;
+      this.call = call;
+      this.listener = listener;
+      this.owner = owner;
+    }
+  }
+
+  private final Context context;
+  private final PeerLinks links;
+  private final LocalSlots local;
+  private final VmId self;
+  private final Function<String, VmId> owners;
+  private final Map<CallId, Asked> asked = new HashMap<>();
+
+  RemoteSlots(
+      Context context,
+      PeerLinks links,
+      LocalSlots local,
+      VmId self,
+      Function<String, VmId> owners) {
+    this.context = context;
+    this.links = links;
+    this.local = local;
+    this.self = self;
+    this.owners = owners;
+  }
+
+  @Override
+  public void request(String group, WaitingCall call, SlotListener listener) {
+    VmId owner = owners.apply(group);
+    if (owner.equals(self)) {
+      local.request(group, call, listener);
+      return;
+    }
+    context.runOnContext(run -> ask(new Asked(group, call, listener, owner)));
+  }
+
+  @Override
+  public void observe(String group, CallId id, CallObservation seen) {
+    context.runOnContext(
+        run -> {
+          Asked held = asked.get(id);
+          if (held == null) {
+            local.observe(group, id, seen);
+          } else {
+            links.send(held.owner, new PeerMessage.SlotProgress(group, id, seen));
+          }
+        });
+  }
+
+  @Override
+  public void release(String group, CallId id, CallResult result) {
+    context.runOnContext(
+        run -> {
+          Asked held = asked.get(id);
+          if (held == null) {
+            local.release(group, id, result);
+            return;
+          }
+          held.grant = null;
+          if (result.ending() != CallEnding.PREEMPTED) {
+            asked.remove(id);
+          }
+          links.send(held.owner, new PeerMessage.SlotRelease(group, id, result));
+        });
+  }
+
+  @Override
+  public void cancel(String group, CallId id) {
+    context.runOnContext(
+        run -> {
+          Asked held = asked.remove(id);
+          if (held == null) {
+            local.cancel(group, id);
+          } else {
+            links.send(held.owner, new PeerMessage.SlotCancel(group, id));
+          }
+        });
+  }
+
+  void granted(VmId from, PeerMessage.SlotGrant granted) {
+    SlotGrant grant = granted.grant();
+    Asked held = asked.get(grant.call());
+    if (held == null || !held.owner.equals(from)) {
+      CallResult unused = CallResult.withoutTokens(grant.grantId(), CallEnding.CANCELLED);
+      links.send(from, new PeerMessage.SlotRelease(granted.group(), grant.call(), unused));
+      return;
+    }
+    held.grant = grant;
+    held.listener.granted(grant);
+  }
+
+  void refused(VmId from, PeerMessage.SlotRefusal refusal) {
+    Asked held = asked.get(refusal.call());
+    if (held != null && held.owner.equals(from)) {
+      asked.remove(refusal.call());
+      held.listener.refused(refusal.reason(), refusal.retryAfterMs());
+    }
+  }
+
+  void preempted(PeerMessage.SlotPreempt order) {
+    Asked held = asked.get(order.call());
+    if (held != null) {
+      held.listener.preempted(order.grantId());
+    }
+  }
+
+  void ownerGone(VmId owner) {
+    List<Asked> lost = asked.values().stream().filter(each -> each.owner.equals(owner)).toList();
+    for (Asked each : lost) {
+      VmId next = owners.apply(each.group);
+      if (next.equals(owner)) {
+        // The view still names the lost owner; the caller's retry finds the next one.
+        refuseUnlessHeld(each);
+        continue;
+      }
+      each.owner = next;
+      if (each.grant == null) {
+        asked.remove(each.call.id());
+        request(each.group, each.call, each.listener);
+      } else if (next.equals(self)) {
+        asked.remove(each.call.id());
+        local.restore(each.group, each.call, each.grant, each.listener);
+      } else {
+        links.send(next, new PeerMessage.SlotReport(each.group, each.call, each.grant));
+      }
+    }
+  }
+
+  private void refuseUnlessHeld(Asked each) {
+    if (each.grant == null) {
+      asked.remove(each.call.id());
+      each.listener.refused("owner_unreachable", RETRY_AFTER_MS);
+    }
+  }
+
+  private void ask(Asked next) {
+    asked.put(next.call.id(), next);
+    links
+        .send(next.owner, new PeerMessage.SlotRequest(next.group, next.call))
+        .onFailure(
+            failure -> {
+              if (asked.remove(next.call.id(), next)) {
+                next.listener.refused("owner_unreachable", RETRY_AFTER_MS);
+              }
+            });
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/ServedRequests.java
@@ -0,0 +1,87 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.daemon.lifecycle.Readiness;
+import io.magnoliaroute.daemon.request.CallerRequest;
+import io.magnoliaroute.daemon.request.Problem;
+import io.magnoliaroute.daemon.request.ProblemCode;
+import io.magnoliaroute.daemon.request.Replies;
+import io.magnoliaroute.daemon.request.RequestHandler;
+import io.magnoliaroute.daemon.request.RequestKind;
+import io.magnoliaroute.wire.PeerMessage;
+import io.vertx.core.Context;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The requests that this VM carries out for other front ends; used on the peers' context. */
+final class ServedRequests {
+
+  private static final long RETRY_AFTER_MS = 500;
+
+  private record Key(VmId frontEnd, CallId call) {}
+
+  private final Context context;
+  private final PeerLinks links;
+  private final RequestHandler handler;
+  private final Readiness readiness;
+  private final Map<Key, PeerReplySink> sinks = new ConcurrentHashMap<>();
+
+  ServedRequests(Context context, PeerLinks links, RequestHandler handler, Readiness readiness) {
+    this.context = context;
+    this.links = links;
+    this.handler = handler;
+    this.readiness = readiness;
+  }
+
+  int running() {
+    return sinks.size();
+  }
+
+  void open(VmId from, PeerMessage.ProgramOpen open) {
+    Key key = new Key(from, open.call());
+    PeerReplySink sink =
+        new PeerReplySink(context, links, from, open.call(), () -> sinks.remove(key));
+    sinks.put(key, sink);
+    RequestKind kind;
+    try {
+      kind = RequestKind.ofWireName(open.kind());
+    } catch (IllegalArgumentException e) {
+      Replies.problem(sink, Problem.of(ProblemCode.INVALID_REQUEST, e.getMessage()));
+      return;
+    }
+    if (kind.startsWork() && readiness.phase() == Readiness.Phase.STOPPING) {
+      Replies.problem(
+          sink, new Problem(ProblemCode.STOPPING, "the owner is stopping", RETRY_AFTER_MS));
+      return;
+    }
+    Map<String, String> fields = new HashMap<>();
+    open.fields().forEach(field -> fields.put(field.name(), field.value()));
+    handler.handle(
+        new CallerRequest(open.call(), kind, open.team(), open.forwards(), fields, open.body()),
+        sink);
+  }
+
+  void cancel(VmId from, CallId call) {
+    PeerReplySink sink = sinks.get(new Key(from, call));
+    if (sink != null) {
+      sink.closeByFrontEnd();
+    }
+  }
+
+  void credit(VmId from, CallId call, int bytes) {
+    PeerReplySink sink = sinks.get(new Key(from, call));
+    if (sink != null) {
+      sink.credit(bytes);
+    }
+  }
+
+  /** Ends what runs for a front end that is gone. */
+  void closeFrontEnd(VmId frontEnd) {
+    List<PeerReplySink> gone =
+        sinks.values().stream().filter(sink -> sink.frontEnd().equals(frontEnd)).toList();
+    gone.forEach(PeerReplySink::closeByFrontEnd);
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/ServedSlots.java
@@ -0,0 +1,56 @@
+package io.magnoliaroute.daemon.peer;
+
+import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.schedule.SlotGrant;
+import io.magnoliaroute.daemon.slot.LocalSlots;
+import io.magnoliaroute.daemon.slot.SlotListener;
+import io.magnoliaroute.wire.PeerMessage;
+import io.vertx.core.Context;
+
+/** Serves slots of this VM's groups to partition owners on other VMs. */
+final class ServedSlots {
+
+  private final Context context;
+  private final PeerLinks links;
+  private final LocalSlots local;
+
+  ServedSlots(Context context, PeerLinks links, LocalSlots local) {
+    this.context = context;
+    this.links = links;
+    this.local = local;
+  }
+
+  void request(VmId from, PeerMessage.SlotRequest request) {
+    local.request(
+        request.group(), request.call(), listener(from, request.group(), request.call().id()));
+  }
+
+  void report(VmId from, PeerMessage.SlotReport report) {
+    SlotListener listener = listener(from, report.group(), report.call().id());
+    local.restore(report.group(), report.call(), report.grant(), listener);
+  }
+
+  private SlotListener listener(VmId holder, String group, CallId call) {
+    return new SlotListener() {
+      @Override
+      public void granted(SlotGrant grant) {
+        send(new PeerMessage.SlotGrant(group, grant));
+      }
+
+      @Override
+      public void refused(String reason, long retryAfterMs) {
+        send(new PeerMessage.SlotRefusal(group, call, reason, retryAfterMs));
+      }
+
+      @Override
+      public void preempted(long grantId) {
+        send(new PeerMessage.SlotPreempt(group, call, grantId));
+      }
+
+      private void send(PeerMessage message) {
+        context.runOnContext(run -> links.send(holder, message));
+      }
+    };
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionHost.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionHost.java
@@ -7,13 +7,13 @@
 import io.magnoliaroute.core.log.LogPort;
 import io.magnoliaroute.core.log.ReadRequest;
 import io.magnoliaroute.core.log.RecordId;
+import io.magnoliaroute.core.model.ProgramId;
 import io.magnoliaroute.core.program.HeldTurn;
 import io.magnoliaroute.core.program.HoldResult;
 import io.magnoliaroute.core.program.PartitionLease;
 import io.magnoliaroute.core.program.ProgramRecord;
 import io.magnoliaroute.core.program.ProgramView;
-import io.magnoliaroute.core.program.Refusal;
-import io.magnoliaroute.core.program.Verdict;
+import io.magnoliaroute.core.program.Turn;
 import io.magnoliaroute.daemon.platform.LogFailures;
 import io.magnoliaroute.daemon.request.Problem;
 import io.magnoliaroute.daemon.request.ProblemCode;
@@ -88,6 +88,11 @@
     }
   }
 
+  /** Returns the turns of the program that are not known to be logged. */
+  public List<Turn> unloggedTurns(ProgramId program) {
+    return read(held -> held.history().turns(program));
+  }
+
   /** Returns whether the claim of this run of the VM is in force, as far as was read. */
   public boolean isOwner() {
     return read(PartitionCore::isOwner);
@@ -165,7 +170,7 @@
   }
 
   /** Holds a turn that a peer mirrored; it is written when this VM owns the partition. */
-  boolean holdMirrored(HeldTurn mirrored) {
+  public boolean holdMirrored(HeldTurn mirrored) {
     boolean kept = read(held -> hold(held, mirrored).held());
     read(
         held -> {
@@ -358,9 +363,4 @@
   private static void complete(List<Runnable> settled) {
     settled.forEach(Runnable::run);
   }
-
-  /** Returns whether the verdict is a refusal by epoch. */
-  static boolean isStale(Verdict verdict) {
-    return verdict instanceof Verdict.Refused refused && refused.reason() == Refusal.STALE_EPOCH;
-  }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ProgramService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ProgramService.java
@@ -41,11 +41,20 @@
   private final ActionService actions;
   private final Recoveries recoveries;
   private final ProgramEndings endings;
+  private final Consumer<PartitionHost> onTaken;
   private final Map<ProgramId, TurnRun> running = new ConcurrentHashMap<>();
   private final Set<Integer> recovered = ConcurrentHashMap.newKeySet();
 
-  /** Makes the service; {@code endings} hears of programs that ended. */
-  public ProgramService(ProgramServices services, ProgramEndings endings) {
+  /**
+   * Makes the service.
+   *
+   * @param services what the orchestration uses
+   * @param endings hears of programs that ended
+   * @param onTaken hears of partitions that this VM took
+   */
+  public ProgramService(
+      ProgramServices services, ProgramEndings endings, Consumer<PartitionHost> onTaken) {
+    this.onTaken = onTaken;
     this.services = services;
     this.endings = endings;
     this.planner = new TurnPlanner(services);
@@ -91,6 +100,7 @@
             owned -> {
               if (recovered.add(host.partition())) {
                 recoveries.start(host);
+                onTaken.accept(host);
               }
             });
   }
