--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import io.magnoliaroute.core.log.WriterId;
 import io.magnoliaroute.core.membership.Member;
 import io.magnoliaroute.core.model.ProgramId;
+import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.settings.Limits;
 import io.magnoliaroute.core.settings.ProcessSettings;
 import io.magnoliaroute.daemon.engine.EngineClient;
@@ -156,6 +157,16 @@
     return peerPort;
   }
 
+  /** Returns the VM. */
+  public VmId vm() {
+    return process.vm();
+  }
+
+  /** Returns the teams' budgets on this VM. */
+  public BudgetDesk budgets() {
+    return budgets;
+  }
+
   /** Returns this VM among its peers. */
   public PeerNode peers() {
     return peers;
