Keep membership running when the clock is set back

Cause: the runtime's clock is a wall clock. A clock set back by an hour would have stopped all probes of the VM for that hour, as their times lay ahead.

Change: SteadyTime turns the caller's clock into one that never goes back. The seeded sequences set clocks back, and the simulated network sometimes runs the timer before the messages that waited during a pause.

Conclusion: a clock set forward is still treated as a pause, which costs one re-read of claims.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
@@ -36,6 +36,7 @@
   private final ProbeRound otherCentresRound;
   private final ProbeRound absentRound;
   private final TableSync sync;
+  private final SteadyTime time;
   private final EventBuffer events = new EventBuffer();
 
   private volatile MembershipView view;
@@ -68,6 +69,7 @@
     this.ownCentreRound = new ProbeRound(random);
     this.otherCentresRound = new ProbeRound(random);
     this.absentRound = new ProbeRound(random);
+    this.time = new SteadyTime(nowMs);
     this.lastTickMs = nowMs;
     // Spreads the probes of VMs that start together over the period.
     this.nextProbeMs = nowMs + random.nextLong(settings.periodMs());
@@ -77,12 +79,13 @@
   }
 
   /** Advances timers; sends probes that are due and settles those that were not answered. */
-  public List<Outgoing> tick(long nowMs) {
+  public List<Outgoing> tick(long clockMs) {
     if (local.hasStopped()) {
       return List.of();
     }
+    long nowMs = time.at(clockMs);
     noteTime(nowMs);
-    lastTickMs = Math.max(lastTickMs, nowMs);
+    lastTickMs = nowMs;
     List<Outgoing> out = new ArrayList<>();
     settleSuspects(nowMs);
     settleProbes(nowMs, out);
@@ -101,11 +104,12 @@
   }
 
   /** Takes in a message; {@code from} is the VM that the connection was authenticated for. */
-  public List<Outgoing> receive(VmId from, MembershipMessage m, long nowMs) {
+  public List<Outgoing> receive(VmId from, MembershipMessage m, long clockMs) {
     MemberDelta sender = m.gossip().sender();
     if (local.hasStopped() || from.equals(local.vm()) || !sender.info().vm().equals(from)) {
       return List.of();
     }
+    long nowMs = time.at(clockMs);
     noteTime(nowMs);
     peers.heardOf(m.gossip().listVersion());
     merge(sender, nowMs);
@@ -142,10 +146,11 @@
    * marked VM lifts its mark, when the newest list that any VM has heard of names it live and it
    * has not begun to stop.
    */
-  public void applyPlatformList(PlatformList list, long nowMs) {
+  public void applyPlatformList(PlatformList list, long clockMs) {
     if (!peers.apply(list)) {
       return;
     }
+    long nowMs = time.at(clockMs);
     for (VmId vm : peers.leaving()) {
       markLeaving(vm, nowMs);
     }
@@ -164,14 +169,16 @@
   }
 
   /** Marks this VM as leaving and returns messages that spread the mark at once. */
-  public List<Outgoing> leave(long nowMs) {
+  public List<Outgoing> leave(long clockMs) {
+    long nowMs = time.at(clockMs);
     local.leave(nowMs);
     refreshView();
     return farewells(nowMs);
   }
 
   /** Returns messages that tell peers that this VM has stopped; the last call before the exit. */
-  public List<Outgoing> stopped(long nowMs) {
+  public List<Outgoing> stopped(long clockMs) {
+    long nowMs = time.at(clockMs);
     local.stop(nowMs);
     refreshView();
     return farewells(nowMs);
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
@@ -109,17 +109,32 @@
     /** Guards against a VM that calls its peers dead because it did not read their answers. */
     @Test
     void itDoesNotJudgeOthersAfterwards() {
-      first.pausedUntilMs = network.nowMs + 10_000;
-      network.run(10_000);
-      for (int i = 0; i < 50; i++) {
-        network.step();
-        for (Host other : network.running()) {
-          assertEquals(MemberState.ALIVE, first.stateOf(other.info.vm()));
+      for (long pauseMs = 300; pauseMs <= 10_000; pauseMs += 300) {
+        first.pausedUntilMs = network.nowMs + pauseMs;
+        network.run(pauseMs);
+        for (int i = 0; i < 20; i++) {
+          network.step();
+          for (Host other : network.running()) {
+            assertEquals(MemberState.ALIVE, first.stateOf(other.info.vm()), "pause " + pauseMs);
+          }
         }
       }
     }
   }
 
+  /** Guards against a clock that is set back and silences the VM until it has caught up. */
+  @Test
+  void aClockThatIsSetBackDoesNotStopProbes() {
+    network = new SimulatedNetwork(SEED, 1, 2);
+    network.runUntil(network::isConverged, START_LIMIT_MS, "convergence from a cold start");
+    Host observer = network.running().get(0);
+    Host crashed = network.running().get(1);
+    observer.clockErrorMs = -3_600_000;
+    crashed.running = false;
+    network.run(network.crashBoundMs());
+    assertEquals(MemberState.DEAD, observer.stateOf(crashed.info.vm()));
+  }
+
   @Nested
   final class WhenThePlatformListLags {
 
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipSequencesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipSequencesTest.java
@@ -67,7 +67,7 @@
     private void fault() {
       Host host = hosts.get(random.nextInt(hosts.size()));
       Host other = hosts.get(random.nextInt(hosts.size()));
-      switch (random.nextInt(9)) {
+      switch (random.nextInt(10)) {
         case 0 -> host.running = false;
         case 1 -> restart(host);
         case 2 -> host.pausedUntilMs = network.nowMs + 100 + random.nextLong(6_000);
@@ -79,6 +79,7 @@
           network.duplication = random.nextDouble() * 0.3;
           network.maxDelayMs = 1 + random.nextLong(1_500);
         }
+        case 8 -> host.clockErrorMs -= random.nextLong(3_600_000);
         default -> publishList(random.nextBoolean());
       }
     }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/SimulatedNetwork.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/SimulatedNetwork.java
@@ -39,6 +39,7 @@
     MembershipController controller;
     long runsFromMs;
     long pausedUntilMs;
+    long clockErrorMs;
     boolean running;
     final List<MembershipEvent> events = new ArrayList<>();
     final List<Delivery> inbox = new ArrayList<>();
@@ -134,10 +135,14 @@
     nowMs = untilMs;
     for (Host host : hosts.values()) {
       if (host.running && host.pausedUntilMs <= nowMs) {
+        if (!host.inbox.isEmpty() && random.nextBoolean()) {
+          // After a pause the timer may come before the messages that waited.
+          send(host.info.vm(), host.controller.tick(nowMs + host.clockErrorMs));
+        }
         List<Delivery> waiting = new ArrayList<>(host.inbox);
         host.inbox.clear();
         waiting.forEach(this::arrive);
-        send(host.info.vm(), host.controller.tick(nowMs));
+        send(host.info.vm(), host.controller.tick(nowMs + host.clockErrorMs));
         host.events.addAll(host.controller.takeEvents());
       }
     }
@@ -171,7 +176,9 @@
       host.inbox.add(delivery);
       return;
     }
-    send(delivery.to(), host.controller.receive(delivery.from(), delivery.message(), nowMs));
+    send(
+        delivery.to(),
+        host.controller.receive(delivery.from(), delivery.message(), nowMs + host.clockErrorMs));
     requireAnswerCounts(host, delivery);
   }
 
