--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MemberTable.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MemberTable.java
@@ -112,6 +112,9 @@
 
   /** Returns the suspects that did not refute in time. */
   List<VmId> overdueSuspects(long nowMs) {
+    if (suspectUntilMs.isEmpty()) {
+      return List.of();
+    }
     List<VmId> overdue = new ArrayList<>();
     for (Map.Entry<VmId, Long> entry : new TreeMap<>(suspectUntilMs).entrySet()) {
       if (entry.getValue() <= nowMs) {
@@ -128,6 +131,9 @@
 
   /** Removes the VMs that died long ago and returns them. */
   List<VmId> forgetDead(long nowMs, long retentionMs) {
+    if (deadSinceMs.isEmpty()) {
+      return List.of();
+    }
     List<VmId> forgotten = new ArrayList<>();
     Iterator<Map.Entry<VmId, Long>> dead = deadSinceMs.entrySet().iterator();
     while (dead.hasNext()) {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/ProbeTracker.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/ProbeTracker.java
@@ -77,6 +77,9 @@
 
   /** Returns the probes whose direct answer is overdue and marks them as sent to helpers. */
   List<Probe> takeOverdueDirect(long nowMs, long directTimeoutMs) {
+    if (probes.isEmpty()) {
+      return List.of();
+    }
     List<Probe> overdue = new ArrayList<>();
     for (Map.Entry<Long, Probe> entry : probes.entrySet()) {
       Probe probe = entry.getValue();
@@ -90,6 +93,9 @@
 
   /** Ends the probes that nobody has answered in time and returns them. */
   List<Probe> takeUnanswered(long nowMs, long probeTimeoutMs) {
+    if (probes.isEmpty() && relays.isEmpty()) {
+      return List.of();
+    }
     List<Probe> unanswered = new ArrayList<>();
     Iterator<Probe> waiting = probes.values().iterator();
     while (waiting.hasNext()) {
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
@@ -183,6 +183,15 @@
     }
   }
 
+  /** Guards against forgotten VMs that come back as dead from tables that still hold them. */
+  @Test
+  void theDeathOfAnUnknownVmIsIgnored() {
+    MemberTable table = new MemberTable(SimulatedNetwork.SETTINGS.suspicionMs());
+    MemberInfo unknown = SimulatedNetwork.info("vm-9", "dc-0");
+    assertFalse(table.merge(new MemberDelta(unknown, 1, MemberState.DEAD), 0));
+    assertEquals(0, table.size());
+  }
+
   /** Guards against gossip that goes on for ever or grows with the changes that wait. */
   @Test
   void deltasAreSentALimitedNumberOfTimesAndFew() {
