--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/slot/LocalSlots.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/slot/LocalSlots.java
@@ -97,7 +97,11 @@
     return made;
   }
 
-  private void refresh() {
+  /**
+   * Gives each group its endpoints. Settings and drains change on different threads; without the
+   * lock, the older of two refreshes could be applied last and lift a drain.
+   */
+  private synchronized void refresh() {
     for (PoolSettings pool : settings.current().tree().pools().values()) {
       group(groupOf(pool)).putEndpoints(specs(pool));
     }
