--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/support/Await.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/support/Await.java
@@ -44,6 +44,11 @@
 
   /** Returns when the condition holds; fails after the deadline. */
   public static void until(String what, BooleanSupplier condition) {
+    within(DEADLINE_MS, what, condition);
+  }
+
+  /** Returns when the condition holds; fails when it does not within the bound. */
+  public static void within(long boundMs, String what, BooleanSupplier condition) {
     CompletableFuture<Void> held = new CompletableFuture<>();
     ScheduledFuture<?> checks =
         CHECKS.scheduleWithFixedDelay(
@@ -56,7 +61,7 @@
             CHECK_MS,
             TimeUnit.MILLISECONDS);
     try {
-      held.get(DEADLINE_MS, TimeUnit.MILLISECONDS);
+      held.get(boundMs, TimeUnit.MILLISECONDS);
     } catch (ExecutionException | TimeoutException e) {
       throw new AssertionError("did not hold in time: " + what, e);
     } catch (InterruptedException e) {
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/engine/EngineCall.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/engine/EngineCall.java
@@ -27,6 +27,7 @@
   private final int resumedTokens;
   private int cachedTokens;
   private int sent;
+  private boolean begun;
   private boolean ended;
 
   EngineCall(
@@ -73,10 +74,16 @@
     return EngineText.countTokens(messages) + tokens.size();
   }
 
+  /** Returns the tokens of the prompt, once it began, and of the answer so far. */
+  int spentTokens() {
+    return begun ? EngineText.countTokens(messages) + sent - resumedTokens : 0;
+  }
+
   void begin(int cached) {
     if (ended) {
       return;
     }
+    begun = true;
     cachedTokens = cached;
     if (faults.hung()) {
       return;
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/engine/StandinEngine.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/engine/StandinEngine.java
@@ -35,6 +35,7 @@
   private long highestLoadToken = Long.MIN_VALUE;
   private int completedCalls;
   private int arrivedCalls;
+  private long spentTokens;
 
   /** Makes an engine with the given shape. */
   public StandinEngine(Vertx vertx, EngineOptions options) {
@@ -83,6 +84,11 @@
     return running.size();
   }
 
+  /** Returns the prompt tokens of all calls that began and the answer tokens that were made. */
+  public synchronized long spentTokens() {
+    return spentTokens + running.values().stream().mapToLong(EngineCall::spentTokens).sum();
+  }
+
   private void generate(RoutingContext context) {
     EngineCall[] self = new EngineCall[1];
     EngineCall call =
@@ -127,6 +133,7 @@
   private synchronized EngineCall freeSlot(EngineCall call) {
     completedCalls++;
     waiting.remove(call);
+    spentTokens += call.spentTokens();
     if (!running.remove(call.id(), call) || waiting.isEmpty()) {
       return null;
     }
