Pass over parked calls instead of removing them from the queue

Cause: a call that waits for its own endpoint left all trees of the queue and entered them again in the same dispatch, and each cost looked the endpoint up in the map of cached prefixes.

Change: parked calls are marked for one dispatch and passed over; what each endpoint has cached is noted once for each call; endpoints that cannot be cheaper than the whole prompt are not looked at.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/EndpointBoard.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/EndpointBoard.java
@@ -15,6 +15,7 @@
 
   private final Map<EndpointId, EndpointLoad> loads = new LinkedHashMap<>();
   private final GroupHealth health = new GroupHealth();
+  private double slotsAtLastJudgement;
 
   /** Adds an endpoint or changes it; calls admitted to it before stay counted. */
   public void put(
@@ -143,7 +144,14 @@
 
   /** Judges the health of all endpoints where a tenth of a second has passed. */
   public void judge(long nowMs) {
-    health.judgeIfDue(loads.values(), nowMs);
+    if (health.judgeIfDue(loads.values(), nowMs)) {
+      slotsAtLastJudgement = effectiveSlots();
+    }
+  }
+
+  /** Returns the effective slots when health was last judged. */
+  public double slotsAtLastJudgement() {
+    return slotsAtLastJudgement;
   }
 
   /** Returns whether new work is shifted away from the endpoint. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/EndpointLoad.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/EndpointLoad.java
@@ -19,6 +19,8 @@
   private int urgentOutstanding;
   private int otherOutstanding;
   private int expectedWaiters;
+  private int cachedTokens;
+  private long cachedForRequest;
 
   EndpointLoad(EndpointId id) {
     this.id = id;
@@ -98,6 +100,16 @@
     }
   }
 
+  /** Notes what the endpoint has cached of one request's prompt, so that costs need no look-up. */
+  void noteCached(int tokens, long request) {
+    cachedTokens = tokens;
+    cachedForRequest = request;
+  }
+
+  int uncachedTokens(int promptTokens, long request) {
+    return cachedForRequest == request ? Math.max(0, promptTokens - cachedTokens) : promptTokens;
+  }
+
   /** Counts calls that decided, in the present dispatch, to wait for this endpoint. */
   void addWaiter() {
     expectedWaiters++;
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/GroupHealth.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/GroupHealth.java
@@ -55,9 +55,10 @@
     promptTokenMs += LEARNING_WEIGHT * (sample - promptTokenMs);
   }
 
-  void judgeIfDue(Collection<EndpointLoad> endpoints, long nowMs) {
+  /** Judges all endpoints where a tenth of a second has passed; returns whether it did. */
+  boolean judgeIfDue(Collection<EndpointLoad> endpoints, long nowMs) {
     if (nowMs - lastJudgedMs < JUDGE_INTERVAL_MS && nowMs >= lastJudgedMs) {
-      return;
+      return false;
     }
     lastJudgedMs = nowMs;
     updateMedians(endpoints);
@@ -66,6 +67,7 @@
       judge(endpoint, silenceCounts, nowMs);
     }
     keepHalf(endpoints);
+    return true;
   }
 
   private void updateMedians(Collection<EndpointLoad> endpoints) {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/RouteChooser.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/RouteChooser.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.core.route;
 
 import io.magnoliaroute.core.model.EndpointId;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -24,6 +25,7 @@
   private static final double PROMPT_COST_FACTOR = 12;
 
   private final EndpointBoard board;
+  private long lastRequest;
 
   /** Makes a chooser that reads the board. */
   public RouteChooser(EndpointBoard board) {
@@ -36,6 +38,7 @@
    * @param slotMs the usual time for which a call holds a slot
    */
   public Optional<Placement> choose(RouteRequest request, double slotMs, long nowMs) {
+    noteCached(request);
     EndpointLoad free = cheapestFree(request, null, nowMs);
     if (request.urgent()) {
       return placement(request, free, false);
@@ -51,6 +54,7 @@
 
   /** Returns the cheapest endpoint with a free slot besides the one given, for a second attempt. */
   public Optional<Placement> chooseOther(RouteRequest request, EndpointId avoided, long nowMs) {
+    noteCached(request);
     return placement(request, cheapestFree(request, avoided, nowMs), false);
   }
 
@@ -66,13 +70,27 @@
     return PROMPT_COST_FACTOR * board.promptMs(tokens);
   }
 
+  private void noteCached(RouteRequest request) {
+    lastRequest++;
+    for (Map.Entry<EndpointId, Integer> cached : request.cachedPrefixTokens().entrySet()) {
+      EndpointLoad load = board.load(cached.getKey());
+      if (load != null) {
+        load.noteCached(cached.getValue(), lastRequest);
+      }
+    }
+  }
+
+  private int uncachedTokens(RouteRequest request, EndpointLoad load) {
+    return load.uncachedTokens(request.promptTokens(), lastRequest);
+  }
+
   private Optional<Placement> placement(RouteRequest request, EndpointLoad load, boolean waits) {
     if (load == null) {
       return Optional.empty();
     }
     return Optional.of(
         new Placement(
-            load.id, waits, request.uncachedTokensAt(load.id), !load.hasLoaded(request.model())));
+            load.id, waits, uncachedTokens(request, load), !load.hasLoaded(request.model())));
   }
 
   private EndpointLoad cheapestFree(RouteRequest request, EndpointId avoided, long nowMs) {
@@ -106,12 +124,28 @@
   private EndpointLoad cheapestFull(RouteRequest request, double slotMs, double belowMs) {
     EndpointLoad best = null;
     double bestCostMs = belowMs;
+    // The order of the key set differs between runs, so equal costs are decided by id.
+    for (EndpointId id : request.cachedPrefixTokens().keySet()) {
+      EndpointLoad load = board.load(id);
+      if (load == null || !isFullAndWell(load)) {
+        continue;
+      }
+      double costMs = waitCostMs(request, load, slotMs);
+      boolean tieWon = costMs == bestCostMs && best != null && id.compareTo(best.id) < 0;
+      if (costMs < bestCostMs || tieWon) {
+        best = load;
+        bestCostMs = costMs;
+      }
+    }
+    // Endpoints without a cached prefix cost at least the whole prompt.
+    if (promptCostMs(request.promptTokens()) >= bestCostMs) {
+      return best;
+    }
     for (EndpointLoad load : board.loads()) {
-      if (!load.takesNewWork() || load.hasFreeSlot(false) || load.health.isSlow()) {
+      if (!isFullAndWell(load)) {
         continue;
       }
-      double slotWaitMs = (load.waiters() + 1) * slotMs / load.windowSlots();
-      double costMs = costMs(request, load) + slotWaitMs;
+      double costMs = waitCostMs(request, load, slotMs);
       if (costMs < bestCostMs) {
         best = load;
         bestCostMs = costMs;
@@ -120,8 +154,16 @@
     return best;
   }
 
+  private static boolean isFullAndWell(EndpointLoad load) {
+    return load.takesNewWork() && !load.hasFreeSlot(false) && !load.health.isSlow();
+  }
+
+  private double waitCostMs(RouteRequest request, EndpointLoad load, double slotMs) {
+    return costMs(request, load) + (load.waiters() + 1) * slotMs / load.windowSlots();
+  }
+
   private double costMs(RouteRequest request, EndpointLoad load) {
-    double costMs = promptCostMs(request.uncachedTokensAt(load.id));
+    double costMs = promptCostMs(uncachedTokens(request, load));
     costMs += board.promptMs(load.health.pendingPromptTokens());
     costMs *= load.health.slowness();
     costMs += slowServiceMs(request, load);
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/RouteRequest.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/RouteRequest.java
@@ -22,9 +22,4 @@
     Map<EndpointId, Integer> cachedPrefixTokens,
     double expectedOutputTokens,
     boolean urgent,
-    double queueWaitMs) {
-
-  int uncachedTokensAt(EndpointId endpoint) {
-    return Math.max(0, promptTokens - cachedPrefixTokens.getOrDefault(endpoint, 0));
-  }
-}
+    double queueWaitMs) {}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/CallQueues.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/CallQueues.java
@@ -57,31 +57,27 @@
     return queued;
   }
 
-  /** Removes and returns the next call of one class, or null. */
-  QueuedCall poll(PriorityClass priority, long nowMs) {
-    QueuedCall next = classes[priority.rank()].poll(limits.ageingBoundMs(), nowMs);
-    if (next != null) {
-      byId.remove(next.call.id());
-    }
-    return next;
+  /** Returns the next call of one class that is not parked in the dispatch, or null. */
+  QueuedCall next(PriorityClass priority, long dispatch, long nowMs) {
+    return classes[priority.rank()].next(limits.ageingBoundMs(), dispatch, nowMs);
   }
 
   /**
-   * Removes and returns the oldest call of a class after the given one that has passed its ageing
-   * bound, where one dispatch in {@code escapeInterval} is due to it; or returns null.
+   * Returns the oldest call of a class after the given one that has passed its ageing bound, where
+   * one dispatch in {@code escapeInterval} is due to it; or returns null.
    */
-  QueuedCall pollEscape(PriorityClass before, long nowMs) {
+  QueuedCall nextEscape(PriorityClass before, long dispatch, long nowMs) {
     if (dispatchesSinceEscape < limits.escapeInterval() - 1) {
       return null;
     }
     QueuedCall oldest = null;
     for (int rank = before.rank() + 1; rank < classes.length; rank++) {
-      QueuedCall aged = classes[rank].aged(limits.ageingBoundMs(), nowMs);
+      QueuedCall aged = classes[rank].aged(limits.ageingBoundMs(), dispatch, nowMs);
       if (aged != null && (oldest == null || QueuedCall.BY_ARRIVAL.compare(aged, oldest) < 0)) {
         oldest = aged;
       }
     }
-    return oldest == null ? null : remove(oldest.call.id());
+    return oldest;
   }
 
   /** Returns the waiting calls of one class, oldest first. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/ClassQueue.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/ClassQueue.java
@@ -60,22 +60,23 @@
     return byArrival;
   }
 
-  /** Returns the oldest call where it has waited for the bound, or null. */
-  QueuedCall aged(long boundMs, long nowMs) {
-    QueuedCall oldest = byArrival.isEmpty() ? null : byArrival.first();
-    return oldest != null && oldest.ageMs(nowMs) >= boundMs ? oldest : null;
+  /** Returns the oldest call that is not parked where it has waited for the bound, or null. */
+  QueuedCall aged(long boundMs, long dispatch, long nowMs) {
+    for (QueuedCall oldest : byArrival) {
+      if (oldest.ageMs(nowMs) < boundMs) {
+        return null;
+      }
+      if (!oldest.isParked(dispatch)) {
+        return oldest;
+      }
+    }
+    return null;
   }
 
-  /** Removes and returns the next call of the class, or null. */
-  QueuedCall poll(long ageingBoundMs, long nowMs) {
-    QueuedCall next = aged(ageingBoundMs, nowMs);
-    if (next == null) {
-      next = bestOfTeams();
-    }
-    if (next != null) {
-      remove(next);
-    }
-    return next;
+  /** Returns the next call of the class that is not parked, or null. */
+  QueuedCall next(long ageingBoundMs, long dispatch, long nowMs) {
+    QueuedCall aged = aged(ageingBoundMs, dispatch, nowMs);
+    return aged != null ? aged : bestOfTeams(dispatch);
   }
 
   /** Charges service to a team; a negative amount gives service back. */
@@ -96,7 +97,7 @@
     teams.values().removeIf(t -> t.calls.isEmpty() && t.virtualService <= floor);
   }
 
-  private QueuedCall bestOfTeams() {
+  private QueuedCall bestOfTeams(long dispatch) {
     if (active.isEmpty()) {
       return null;
     }
@@ -104,12 +105,12 @@
     QueuedCall best = null;
     int compared = 0;
     for (TeamQueue team : active) {
-      if (team.virtualService > limit || compared == TEAMS_COMPARED) {
+      if (best != null && (team.virtualService > limit || compared >= TEAMS_COMPARED)) {
         break;
       }
       compared++;
-      QueuedCall first = team.calls.first();
-      if (best == null || QueuedCall.BY_KEY.compare(first, best) < 0) {
+      QueuedCall first = team.first(dispatch);
+      if (first != null && (best == null || QueuedCall.BY_KEY.compare(first, best) < 0)) {
         best = first;
       }
     }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/Dispatcher.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/Dispatcher.java
@@ -24,6 +24,7 @@
   private final GroupStatistics statistics;
   private final SlotLedger slots;
   private long turn;
+  private long dispatch;
 
   Dispatcher(CallQueues queues, EndpointBoard board, GroupStatistics statistics, SlotLedger slots) {
     this.queues = queues;
@@ -43,6 +44,7 @@
     if (queues.size() == 0) {
       return made;
     }
+    dispatch++;
     chooser.startDispatch();
     for (PriorityClass priority : PriorityClass.values()) {
       if (queues.size(priority) > 0) {
@@ -60,7 +62,8 @@
       if (endpoint.isEmpty()) {
         return made;
       }
-      QueuedCall next = queues.poll(PriorityClass.NORMAL, nowMs);
+      QueuedCall next = queues.next(PriorityClass.NORMAL, 1, nowMs);
+      queues.remove(next.call.id());
       int cached = next.call.cachedPrefixTokensAt(endpoint.get());
       Placement at = new Placement(endpoint.get(), false, next.call.promptTokens() - cached, false);
       made.add(slots.grant(next, at, false, nowMs));
@@ -70,17 +73,18 @@
 
   private void dispatchClass(PriorityClass priority, List<SlotGrant> made, long nowMs) {
     boolean urgent = priority == PriorityClass.URGENT;
-    List<QueuedCall> parked = new ArrayList<>();
-    while (parked.size() < MAX_PARKED && board.hasFreeSlot(urgent)) {
+    int parked = 0;
+    while (parked < MAX_PARKED && board.hasFreeSlot(urgent)) {
       boolean unreserved = board.hasFreeSlot(false);
-      QueuedCall escaped = unreserved ? queues.pollEscape(priority, nowMs) : null;
-      QueuedCall next = escaped != null ? escaped : queues.poll(priority, nowMs);
+      QueuedCall escaped = unreserved ? queues.nextEscape(priority, dispatch, nowMs) : null;
+      QueuedCall next = escaped != null ? escaped : queues.next(priority, dispatch, nowMs);
       if (next == null) {
-        break;
+        return;
       }
       SlotGrant grant = place(next, nowMs);
       if (grant == null) {
-        parked.add(next);
+        next.park(dispatch);
+        parked++;
         continue;
       }
       made.add(grant);
@@ -88,7 +92,6 @@
         queues.dispatched(escaped != null);
       }
     }
-    parked.forEach(queues::add);
   }
 
   private SlotGrant place(QueuedCall next, long nowMs) {
@@ -96,6 +99,7 @@
     if (at.isEmpty() || at.get().waits()) {
       return null;
     }
+    queues.remove(next.call.id());
     return slots.grant(next, at.get(), false, nowMs);
   }
 }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/QueuedCall.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/QueuedCall.java
@@ -24,6 +24,7 @@
   final double orderKey;
   private Map<EndpointId, Integer> cachedPrefixTokens;
   private long waitingSinceMs;
+  private long parkedInDispatch;
 
   QueuedCall(
       WaitingCall call, PriorityClass served, long sequence, long queuedMs, double orderKey) {
@@ -53,6 +54,15 @@
     cachedPrefixTokens = changed;
   }
 
+  /** Passes the call over for the rest of the dispatch, because it waits for its endpoint. */
+  void park(long dispatch) {
+    parkedInDispatch = dispatch;
+  }
+
+  boolean isParked(long dispatch) {
+    return parkedInDispatch == dispatch;
+  }
+
   /** Returns the time since the call was first queued, which counts for ageing. */
   long ageMs(long nowMs) {
     return Math.max(0, nowMs - queuedMs);
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/SlotLedger.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/SlotLedger.java
@@ -97,7 +97,7 @@
 
   /** Returns the request for a route; the wait is that of a call at the end of its class. */
   RouteRequest routeRequest(QueuedCall queued) {
-    double slots = Math.max(1, board.effectiveSlots());
+    double slots = Math.max(1, board.slotsAtLastJudgement());
     double waitMs = queues.sizeUpTo(queued.served) * statistics.slotMs() / slots;
     return new RouteRequest(
         queued.call.dataCentre(),
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/TeamQueue.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/TeamQueue.java
@@ -15,4 +15,14 @@
   TeamQueue(TeamId team) {
     this.team = team;
   }
+
+  /** Returns the first call that is not parked, or null. */
+  QueuedCall first(long dispatch) {
+    for (QueuedCall call : calls) {
+      if (!call.isParked(dispatch)) {
+        return call;
+      }
+    }
+    return null;
+  }
 }
