--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/Dispatcher.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/Dispatcher.java
@@ -14,9 +14,10 @@
 
   /**
    * Calls of one class that may decide to wait for their own endpoint in one dispatch, before the
-   * dispatch ends. With six endpoints, one of 32 calls almost always fits a free slot.
+   * slot goes to the next class or stays free until the next release. More of them cost time in
+   * each dispatch and keep the next class from slots that no call of this class wants.
    */
-  private static final int MAX_PARKED = 32;
+  private static final int MAX_PARKED = 8;
 
   private final CallQueues queues;
   private final EndpointBoard board;
