--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/PartitionState.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/PartitionState.java
@@ -59,16 +59,13 @@
       return DUPLICATE;
     }
     lastOffset = offset;
-    if (r instanceof Snapshot) {
-      return SNAPSHOT_READ;
-    }
     if (r instanceof Claim taken) {
       return applyClaim(offset, taken);
     }
     if (isOwner(r.id().writer()) && !seen.add(r.id().sequence())) {
       return DUPLICATE;
     }
-    return applyOnce(offset, r);
+    return r instanceof Snapshot ? SNAPSHOT_READ : applyOnce(offset, r);
   }
 
   /** Passes over an offset whose record cannot be decoded. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/SnapshotPlanner.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/SnapshotPlanner.java
@@ -49,7 +49,12 @@
     return writtenAtMs.isEmpty() || nowMs - writtenAtMs.getAsLong() >= retentionMs / DUE_DIVISOR;
   }
 
-  /** Returns the records of a snapshot of the state, in the order in which to append them. */
+  /**
+   * Returns the records of a snapshot of the state, in the order in which to append them.
+   *
+   * <p>The driver adds them to the committer one at a time, each when little else is held there, so
+   * that turns do not wait behind a large snapshot. It drops the rest when it loses its claim.
+   */
   public List<ProgramRecord.Snapshot> plan(PartitionState state, RecordSequence ids, long nowMs) {
     plannedAtMs = OptionalLong.of(nowMs);
     List<List<SnapshotEntry>> parts = split(state.entries());
