Take over a budget slice once when the log is read anew

A verdict read before the ledger had caught up could also be wrong. Change: the holder takes a grant over once, by the number in its id, only when the ledger is reliable, and with the state of the ledger; it opens a slice by the same state.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetHolder.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetHolder.java
@@ -166,7 +166,7 @@
     if (budgetRecord instanceof BudgetRecord.SliceGranted grant) {
       granted(holding, grant, verdict, nowMs);
     } else if (budgetRecord instanceof BudgetRecord.SliceOpened opened) {
-      opened(holding.slices.get(opened.slice()), opened, verdict);
+      opened(holding.slices.get(opened.slice()), opened);
     } else if (budgetRecord instanceof BudgetRecord.SliceReclaimed reclaimed) {
       reclaimed(holding.slices.get(reclaimed.slice()), verdict);
     } else if (budgetRecord instanceof BudgetRecord.SliceReleased released) {
@@ -179,34 +179,45 @@
     return holdings.values().stream().map(TeamHolding::figures).toList();
   }
 
+  /**
+   * Takes over a slice once, by the state of the ledger.
+   *
+   * <p>A VM that reads the log anew meets its own grants again. A second takeover would forget what
+   * was spent, and a verdict of a ledger that has not caught up may be wrong.
+   */
   private void granted(
       TeamHolding holding, BudgetRecord.SliceGranted grant, BudgetVerdict verdict, long nowMs) {
-    if (!grant.slice().startsWith(writer + "/")) {
+    boolean own = grant.slice().startsWith(writer + "/");
+    if (!own || !ledger.known(grant.team(), grant.period())) {
+      return;
+    }
+    long number = Long.parseLong(grant.slice().substring(writer.length() + 1));
+    if (number <= holding.lastDecidedGrant) {
       return;
     }
-    if (verdict == BudgetVerdict.ACCEPTED) {
-      holding.slices.put(grant.slice(), new HolderSlice(grant, nowMs));
+    holding.lastDecidedGrant = number;
+    holding.pendingGrant = null;
+    Optional<SliceState> state = ledger.slice(grant.team(), grant.period(), grant.slice());
+    if (state.isPresent() && state.get().phase() != SlicePhase.RELEASED) {
+      holding.slices.put(grant.slice(), new HolderSlice(grant.period(), state.get(), nowMs));
       holding.lastAmountUnits = grant.amountUnits();
       holding.lastGrantMs = nowMs;
     } else if (verdict == BudgetVerdict.BUDGET_EXCEEDED) {
       holding.lastAmountUnits = 0;
     }
-    if (holding.pendingGrant != null && grantOf(holding).slice().equals(grant.slice())) {
-      holding.pendingGrant = null;
-    }
   }
 
-  private static void opened(
-      HolderSlice slice, BudgetRecord.SliceOpened opened, BudgetVerdict verdict) {
-    if (slice == null) {
+  private void opened(HolderSlice slice, BudgetRecord.SliceOpened opened) {
+    if (slice == null || !ledger.known(opened.team(), opened.period())) {
       return;
     }
-    if (verdict == BudgetVerdict.ACCEPTED) {
-      slice.openedUnits = Math.max(slice.openedUnits, opened.openedUnits());
-    }
-    if (verdict == BudgetVerdict.SLICE_ENDED) {
-      slice.reclaimed = true;
-    }
+    ledger
+        .slice(opened.team(), opened.period(), opened.slice())
+        .ifPresent(
+            state -> {
+              slice.openedUnits = Math.max(slice.openedUnits, state.openedUnits());
+              slice.reclaimed |= state.phase() == SlicePhase.RECLAIMED;
+            });
     if (slice.pendingOpen != null
         && slice.pendingOpen.budgetRecord.recordId().equals(opened.recordId())) {
       slice.pendingOpen = null;
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/HolderSlice.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/HolderSlice.java
@@ -17,11 +17,12 @@
   Pending pendingOpen;
   Pending pendingRelease;
 
-  HolderSlice(BudgetRecord.SliceGranted grant, long nowMs) {
-    this.id = grant.slice();
-    this.period = grant.period();
-    this.amountUnits = grant.amountUnits();
-    this.openedUnits = grant.openedUnits();
+  HolderSlice(BudgetPeriod period, SliceState state, long nowMs) {
+    this.id = state.slice();
+    this.period = period;
+    this.amountUnits = state.amountUnits();
+    this.openedUnits = state.openedUnits();
+    this.reclaimed = state.phase() == SlicePhase.RECLAIMED;
     this.lastUsedMs = nowMs;
   }
 
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/TeamHolding.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/TeamHolding.java
@@ -18,6 +18,7 @@
   BudgetSettings settings;
   long settingsVersion;
   HolderSlice.Pending pendingGrant;
+  long lastDecidedGrant;
   long largestCallUnits;
   long lastAmountUnits;
   long lastGrantMs;
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/budget/BudgetHolderTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/budget/BudgetHolderTest.java
@@ -149,6 +149,31 @@
       assertEquals(Optional.empty(), holder.reserve(TEAM, 1, nowMs));
     }
 
+    /** Guards against a VM that reads the log anew and forgets what it spent (seed 12506). */
+    @Test
+    void readingTheLogAnewDoesNotGiveSpentUnitsBack() {
+      holder.settle(reserve(900), 900);
+      ledger.readFrom(0);
+      for (int i = 0; i < written.size(); i++) {
+        holder.applied(written.get(i), ledger.apply(i, written.get(i)), nowMs);
+      }
+      assertEquals(900, holder.figures().get(0).spentUnits());
+      assertEquals(BudgetAvailability.EXHAUSTED, holder.availability(TEAM, 101, nowMs));
+    }
+
+    /** Guards against a slice that is taken over before its verdict is certain. */
+    @Test
+    void aGrantReadWhileCatchingUpIsNotTakenOver() {
+      holder.reserve(TEAM, 10, nowMs);
+      BudgetRecord granted = holder.poll(nowMs).get(0);
+      ledger.readFrom(5);
+      holder.applied(granted, ledger.apply(5, granted), nowMs);
+      assertEquals(Optional.empty(), holder.reserve(TEAM, 10, nowMs));
+      ledger.reachedTip();
+      holder.applied(granted, ledger.apply(6, granted), nowMs);
+      assertEquals(10, holder.reserve(TEAM, 10, nowMs).orElseThrow().units());
+    }
+
     /** Guards against two calls that reserve the same units. */
     @Test
     void reservedUnitsAreNotReservedAgain() {
