--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MemberTable.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MemberTable.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.random.RandomGenerator;
 
 /** The members with their suspicion deadlines and times of death. */
 final class MemberTable {
@@ -113,6 +112,9 @@
 
   /** Returns the suspects that did not refute in time. */
   List<VmId> overdueSuspects(long nowMs) {
+    if (suspectUntilMs.isEmpty()) {
+      return List.of();
+    }
     List<VmId> overdue = new ArrayList<>();
     for (Map.Entry<VmId, Long> entry : new TreeMap<>(suspectUntilMs).entrySet()) {
       if (entry.getValue() <= nowMs) {
@@ -129,6 +131,9 @@
 
   /** Removes the VMs that died long ago and returns them. */
   List<VmId> forgetDead(long nowMs, long retentionMs) {
+    if (deadSinceMs.isEmpty()) {
+      return List.of();
+    }
     List<VmId> forgotten = new ArrayList<>();
     Iterator<Map.Entry<VmId, Long>> dead = deadSinceMs.entrySet().iterator();
     while (dead.hasNext()) {
@@ -143,16 +148,14 @@
     return forgotten;
   }
 
-  /** Returns a run of members of the given length from a random place in the order of ids. */
-  List<MemberDelta> page(int length, RandomGenerator random) {
-    List<Member> all = new ArrayList<>(members.values());
-    int count = Math.min(length, all.size());
-    int start = random.nextInt(all.size());
-    List<MemberDelta> page = new ArrayList<>(count);
-    for (int i = 0; i < count; i++) {
-      page.add(deltaOf(all.get((start + i) % all.size())));
-    }
-    return page;
+  /** Returns the members of a page in the order of ids; page numbers go round. */
+  List<MemberDelta> page(int number, int length) {
+    int pages = (members.size() + length - 1) / length;
+    return members.values().stream()
+        .skip((long) (number % pages) * length)
+        .limit(length)
+        .map(MemberTable::deltaOf)
+        .toList();
   }
 
   static MemberDelta deltaOf(Member member) {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/MembershipController.java
@@ -36,6 +36,7 @@
   private final ProbeRound otherCentresRound;
   private final ProbeRound absentRound;
   private final TableSync sync;
+  private final SteadyTime time;
   private final EventBuffer events = new EventBuffer();
 
   private volatile MembershipView view;
@@ -62,12 +63,13 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.random = Objects.requireNonNull(random, "random");
     this.table = new MemberTable(settings.suspicionMs());
-    this.composer = new GossipComposer(settings, table, peers, random);
+    this.composer = new GossipComposer(settings, table, peers);
     this.local = new LocalMember(self, startIncarnation, table, peers, composer, events, nowMs);
     this.probes = new ProbeTracker(random.nextLong(1, Integer.MAX_VALUE));
     this.ownCentreRound = new ProbeRound(random);
     this.otherCentresRound = new ProbeRound(random);
     this.absentRound = new ProbeRound(random);
+    this.time = new SteadyTime(nowMs);
     this.lastTickMs = nowMs;
     // Spreads the probes of VMs that start together over the period.
     this.nextProbeMs = nowMs + random.nextLong(settings.periodMs());
@@ -77,12 +79,13 @@
   }
 
   /** Advances timers; sends probes that are due and settles those that were not answered. */
-  public List<Outgoing> tick(long nowMs) {
+  public List<Outgoing> tick(long clockMs) {
     if (local.hasStopped()) {
       return List.of();
     }
+    long nowMs = time.at(clockMs);
     noteTime(nowMs);
-    lastTickMs = Math.max(lastTickMs, nowMs);
+    lastTickMs = nowMs;
     List<Outgoing> out = new ArrayList<>();
     settleSuspects(nowMs);
     settleProbes(nowMs, out);
@@ -101,11 +104,12 @@
   }
 
   /** Takes in a message; {@code from} is the VM that the connection was authenticated for. */
-  public List<Outgoing> receive(VmId from, MembershipMessage m, long nowMs) {
+  public List<Outgoing> receive(VmId from, MembershipMessage m, long clockMs) {
     MemberDelta sender = m.gossip().sender();
     if (local.hasStopped() || from.equals(local.vm()) || !sender.info().vm().equals(from)) {
       return List.of();
     }
+    long nowMs = time.at(clockMs);
     noteTime(nowMs);
     peers.heardOf(m.gossip().listVersion());
     merge(sender, nowMs);
@@ -142,10 +146,11 @@
    * marked VM lifts its mark, when the newest list that any VM has heard of names it live and it
    * has not begun to stop.
    */
-  public void applyPlatformList(PlatformList list, long nowMs) {
+  public void applyPlatformList(PlatformList list, long clockMs) {
     if (!peers.apply(list)) {
       return;
     }
+    long nowMs = time.at(clockMs);
     for (VmId vm : peers.leaving()) {
       markLeaving(vm, nowMs);
     }
@@ -164,14 +169,16 @@
   }
 
   /** Marks this VM as leaving and returns messages that spread the mark at once. */
-  public List<Outgoing> leave(long nowMs) {
+  public List<Outgoing> leave(long clockMs) {
+    long nowMs = time.at(clockMs);
     local.leave(nowMs);
     refreshView();
     return farewells(nowMs);
   }
 
   /** Returns messages that tell peers that this VM has stopped; the last call before the exit. */
-  public List<Outgoing> stopped(long nowMs) {
+  public List<Outgoing> stopped(long clockMs) {
+    long nowMs = time.at(clockMs);
     local.stop(nowMs);
     refreshView();
     return farewells(nowMs);
@@ -183,6 +190,15 @@
     return held.isPresent() ? held : peers.address(vm);
   }
 
+  /**
+   * Returns whether this VM's table has been equal to that of another VM since the start. Until
+   * then it chooses owners from a part of the VMs, so that it should not report itself as ready
+   * unless it is the first of its region.
+   */
+  public boolean hasSynchronised() {
+    return sync.hasSynchronised();
+  }
+
   /** Returns the changes that wait to be passed on, for metrics. */
   public int queuedDeltas() {
     return composer.queuedDeltas();
@@ -254,11 +270,13 @@
   private void probeAbsent(long nowMs, List<Outgoing> out) {
     boolean alone = table.ids(this::isProbed).isEmpty();
     nextAbsentProbeMs = nowMs + (alone ? settings.periodMs() : settings.absentProbePeriodMs());
-    absentRound.next(this::absent, this::isAbsent).ifPresent(vm -> probe(vm, false, nowMs, out));
+    absentRound
+        .next(() -> peers.absent(table), vm -> peers.isAbsent(vm, table))
+        .ifPresent(vm -> probe(vm, false, nowMs, out));
   }
 
   private void probe(VmId target, boolean judged, long nowMs, List<Outgoing> out) {
-    long sequence = probes.start(target, judged, nowMs);
+    long sequence = probes.start(target, judged, sync.nextPage(), nowMs);
     Gossip gossip = composer.compose(target);
     out.add(
         new Outgoing(target, new MembershipMessage.Ping(sequence, sync.takeDue(nowMs), gossip)));
@@ -267,7 +285,10 @@
   private Outgoing answer(VmId from, MembershipMessage.Ping ping, long nowMs) {
     boolean differs = ping.gossip().tableDigest() != table.digest();
     boolean withPage = ping.tableWanted() && differs;
-    Gossip gossip = composer.composeAnswer(ping.gossip().sender(), withPage, nowMs);
+    Gossip gossip =
+        withPage
+            ? composer.composePage(ping.gossip().sender(), ping.sequence(), nowMs)
+            : composer.composeAnswer(ping.gossip().sender());
     return new Outgoing(from, new MembershipMessage.Ack(ping.sequence(), gossip));
   }
 
@@ -333,7 +354,7 @@
   private List<Outgoing> farewells(long nowMs) {
     List<Outgoing> out = new ArrayList<>();
     for (VmId vm : randomLive(FAREWELLS, local.vm())) {
-      long sequence = probes.start(vm, false, nowMs);
+      long sequence = probes.start(vm, false, 0, nowMs);
       Gossip gossip = composer.compose(vm);
       out.add(new Outgoing(vm, new MembershipMessage.Ping(sequence, false, gossip)));
     }
@@ -370,21 +391,6 @@
     return isProbed(member) && !member.info().dataCentre().equals(local.info().dataCentre());
   }
 
-  private List<VmId> absent() {
-    List<VmId> absent = table.ids(member -> member.state() == MemberState.DEAD);
-    for (VmId vm : peers.vms()) {
-      if (table.get(vm).isEmpty() && !vm.equals(local.vm())) {
-        absent.add(vm);
-      }
-    }
-    return absent;
-  }
-
-  private boolean isAbsent(VmId vm) {
-    Optional<Member> held = table.get(vm);
-    return held.isPresent() ? held.get().state() == MemberState.DEAD : peers.contains(vm);
-  }
-
   private void refreshView() {
     if (view.version() != table.version()) {
       view = table.view(local.vm());
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/ProbeTracker.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/ProbeTracker.java
@@ -43,9 +43,9 @@
    */
   record Relay(VmId origin, long originSequence, VmId target, long sentAtMs) {}
 
-  /** Starts a probe and returns its sequence. */
-  long start(VmId target, boolean judged, long nowMs) {
-    long sequence = nextSequence++;
+  /** Starts a probe that asks for the page, if for any, and returns its sequence. */
+  long start(VmId target, boolean judged, int page, long nowMs) {
+    long sequence = takeSequence(page);
     probes.put(sequence, new Probe(sequence, target, nowMs, judged, false));
     return sequence;
   }
@@ -55,7 +55,7 @@
     if (relays.size() >= MAX_RELAYS) {
       return Optional.empty();
     }
-    long sequence = nextSequence++;
+    long sequence = takeSequence(0);
     relays.put(sequence, new Relay(origin, originSequence, target, nowMs));
     return Optional.of(sequence);
   }
@@ -77,6 +77,9 @@
 
   /** Returns the probes whose direct answer is overdue and marks them as sent to helpers. */
   List<Probe> takeOverdueDirect(long nowMs, long directTimeoutMs) {
+    if (probes.isEmpty()) {
+      return List.of();
+    }
     List<Probe> overdue = new ArrayList<>();
     for (Map.Entry<Long, Probe> entry : probes.entrySet()) {
       Probe probe = entry.getValue();
@@ -90,6 +93,9 @@
 
   /** Ends the probes that nobody has answered in time and returns them. */
   List<Probe> takeUnanswered(long nowMs, long probeTimeoutMs) {
+    if (probes.isEmpty() && relays.isEmpty()) {
+      return List.of();
+    }
     List<Probe> unanswered = new ArrayList<>();
     Iterator<Probe> waiting = probes.values().iterator();
     while (waiting.hasNext()) {
@@ -103,6 +109,11 @@
     return unanswered;
   }
 
+  private long takeSequence(int page) {
+    long pages = 1L << MembershipMessage.PAGE_BITS;
+    return nextSequence++ * pages + page % pages;
+  }
+
   /** Drops every probe without a verdict. */
   void clear() {
     probes.clear();
