Check by events that a paused VM judges nobody

Cause: removing the rule that drops waiting probes after a pause failed no test: the wrong suspicion was refuted within one step, before the test looked.

Change: the test reads the events that the VM reported during 33 pauses.

Conclusion: no suspicion of a running VM is reported after a pause.

--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
@@ -109,15 +109,13 @@
     /** Guards against a VM that calls its peers dead because it did not read their answers. */
     @Test
     void itDoesNotJudgeOthersAfterwards() {
+      first.events.clear();
       for (long pauseMs = 300; pauseMs <= 10_000; pauseMs += 300) {
         first.pausedUntilMs = network.nowMs + pauseMs;
-        network.run(pauseMs);
-        for (int i = 0; i < 20; i++) {
-          network.step();
-          for (Host other : network.running()) {
-            assertEquals(MemberState.ALIVE, first.stateOf(other.info.vm()), "pause " + pauseMs);
-          }
-        }
+        network.run(pauseMs + 2_000);
+        assertFalse(
+            first.events.stream().anyMatch(MembershipEvent.StateChanged.class::isInstance),
+            () -> first.events.toString());
       }
     }
   }
