Let a retry avoid the endpoint that broke off the first attempt

Cause: a retry carried the cached prefix of the endpoint that had just closed the connection, so prefix affinity sent it there again. Excluded: the retry budget (burst of 10, 4 failures) and the quarantine (one endpoint only). Change: WaitingCall carries avoided endpoints; the route chooser uses them only where no other endpoint can run the call, and sends them no probe. Figures: two new routing tests; before, the first placed the retry on the avoided endpoint. Conclusion: affinity no longer decides against a known failure.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/RouteChooser.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/route/RouteChooser.java
@@ -24,6 +24,9 @@
   /** A computed prompt delays every stream of the batch, so it costs that many times its time. */
   private static final double PROMPT_COST_FACTOR = 12;
 
+  /** Above every other cost, so that an avoided endpoint is the last choice. */
+  private static final double AVOIDED_MS = 600_000;
+
   private final EndpointBoard board;
   private long lastRequest;
 
@@ -118,7 +121,10 @@
   }
 
   private boolean isProbeDue(RouteRequest request, EndpointLoad load, long nowMs) {
-    return !request.urgent() && load.outstanding() == 0 && load.health.isProbeDue(nowMs);
+    return !request.urgent()
+        && !request.avoidedEndpoints().contains(load.id)
+        && load.outstanding() == 0
+        && load.health.isProbeDue(nowMs);
   }
 
   private EndpointLoad cheapestFull(RouteRequest request, double slotMs, double belowMs) {
@@ -178,6 +184,9 @@
     if (!load.hasLoaded(request.model())) {
       costMs += MODEL_LOAD_MS;
     }
+    if (request.avoidedEndpoints().contains(load.id)) {
+      costMs += AVOIDED_MS;
+    }
     return costMs;
   }
 
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/SlotLedger.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/SlotLedger.java
@@ -104,6 +104,7 @@
         queued.call.model(),
         queued.call.promptTokens(),
         queued.cachedPrefixTokens(),
+        queued.call.avoidedEndpoints(),
         statistics.expectedOutputTokens(queued.served),
         queued.isUrgent(),
         waitMs);
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/WaitingCall.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/WaitingCall.java
@@ -9,6 +9,7 @@
 import io.magnoliaroute.core.settings.UrgentRation;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * A call that asks for a slot. It carries everything the decision needs, so that a new group owner
@@ -25,6 +26,8 @@
  * @param deadlineMs when the whole program must be finished, absolute
  * @param promptTokens tokens of the prompt with the history
  * @param cachedPrefixTokens prompt tokens expected in the prefix cache of each endpoint
+ * @param avoidedEndpoints endpoints that broke off an earlier attempt; used only where no other
+ *     endpoint can run the call
  * @param attainedServiceUnits service that the program tree has had, see {@link ServiceUnits}
  * @param underWay whether the program has had a call accepted before
  * @param model the model that the call needs; empty for a plain service
@@ -44,6 +47,7 @@
     long deadlineMs,
     int promptTokens,
     Map<EndpointId, Integer> cachedPrefixTokens,
+    Set<EndpointId> avoidedEndpoints,
     long attainedServiceUnits,
     boolean underWay,
     String model,
@@ -72,6 +76,8 @@
           "attainedServiceUnits must not be negative, was " + attainedServiceUnits);
     }
     cachedPrefixTokens = Map.copyOf(cachedPrefixTokens);
+    // A VM of an earlier release does not send the field.
+    avoidedEndpoints = avoidedEndpoints == null ? Set.of() : Set.copyOf(avoidedEndpoints);
   }
 
   /** Returns a builder for a call of a program that is its own root. */
@@ -98,6 +104,7 @@
     private long deadlineMs = Long.MAX_VALUE;
     private int promptTokens;
     private Map<EndpointId, Integer> cachedPrefixTokens = Map.of();
+    private Set<EndpointId> avoidedEndpoints = Set.of();
     private long attainedServiceUnits;
     private boolean underWay;
     private String model = "";
@@ -149,6 +156,12 @@
       return this;
     }
 
+    /** Sets the endpoints that broke off an earlier attempt; default: none. */
+    public Builder avoidedEndpoints(Set<EndpointId> value) {
+      avoidedEndpoints = value;
+      return this;
+    }
+
     /** Sets the service that the program tree has had; default: none. */
     public Builder attainedServiceUnits(long value) {
       attainedServiceUnits = value;
@@ -193,6 +206,7 @@
           deadlineMs,
           promptTokens,
           cachedPrefixTokens,
+          avoidedEndpoints,
           attainedServiceUnits,
           underWay,
           model,
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/schedule/RoutingTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/schedule/RoutingTest.java
@@ -34,6 +34,35 @@
     return endpoints(scheduler.dispatch(nowMs));
   }
 
+  @Nested
+  final class RepeatedAttempts {
+
+    private final GroupScheduler scheduler = scheduler(endpoint("e0", 2, 0), endpoint("e1", 2, 0));
+
+    /** Guards against a retry that goes back to the endpoint that broke off the first attempt. */
+    @Test
+    void avoidedEndpointIsLeftAloneThoughItHoldsTheHistory() {
+      assertEquals(List.of("e0"), place(scheduler, avoiding("a", "e1"), 0));
+      assertEquals(List.of("e0"), place(scheduler, avoiding("b", "e1"), 0));
+      assertEquals(List.of(), place(scheduler, avoiding("c", "e1"), 0));
+    }
+
+    /** Guards against a call that finds no endpoint because its only one is avoided. */
+    @Test
+    void avoidedEndpointIsUsedWhereItIsTheOnlyOne() {
+      scheduler.removeEndpoint(new EndpointId("e0"));
+      assertEquals(List.of("e1"), place(scheduler, avoiding("a", "e1"), 0));
+    }
+
+    private WaitingCall avoiding(String name, String endpoint) {
+      EndpointId avoided = new EndpointId(endpoint);
+      return call(name)
+          .prompt(8_000, Map.of(avoided, 8_000))
+          .avoidedEndpoints(Set.of(avoided))
+          .build();
+    }
+  }
+
   @Nested
   final class PrefixAffinity {
 
