Bound the histograms of teams and give the slopes one command

Cause: a histogram of a team and class takes 29 KB of heap (slope from 20 to 200 teams), so 9,200 teams with 3 classes and 3 measures would take 2.4 GB on a VM that may use 64 MB for control. Change: DaemonMetrics keeps the 256 team series used last, and one series for each class that keeps every value. magnoliaroute-bench has the sub-commands capacity and path; the four copies of the heap measurement are one class. Conclusion: memory no longer depends on the number of teams. A dashboard sees only teams that were active of late; the counter metrics_evicted_series says when that happens.

--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/BenchMain.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/BenchMain.java
@@ -45,6 +45,8 @@
     builder.withCommand(PolicyCommand.class);
     builder.withCommand(DispatchCommand.class);
     builder.withCommand(FootprintCommand.class);
+    builder.withCommand(CapacityCommand.class);
+    builder.withCommand(PathCommand.class);
     return builder.build();
   }
 }
--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/ConfigSlopes.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/ConfigSlopes.java
@@ -37,7 +37,6 @@
   private static final double DAY_SECONDS = 86_400;
   private static final double NS_PER_US = 1_000;
   private static final double NS_PER_SECOND = 1e9;
-  private static final int GC_ROUNDS = 3;
 
   private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
 
@@ -66,7 +65,7 @@
     for (int i = 0; i < branches; i++) {
       records.add(ConfigCodec.encode(change(i, ConfigState.ABSENT_VERSION, 0)));
     }
-    long heapBefore = usedHeapBytes();
+    long heapBefore = Heap.usedBytes();
     ConfigState state = new ConfigState();
     long startNs = threads.getCurrentThreadCpuTime();
     long offset = 0;
@@ -75,7 +74,7 @@
     }
     state.inForce();
     long loadNs = threads.getCurrentThreadCpuTime() - startNs;
-    double heapPerBranch = (usedHeapBytes() - heapBefore) / (double) branches;
+    double heapPerBranch = (Heap.usedBytes() - heapBefore) / (double) branches;
 
     double changeNs = changes(state, branches, offset);
     double entryNs = snapshotEntries(state, offset + MEASURED_CHANGES);
@@ -188,12 +187,4 @@
         """
         .formatted(2 * branch + 1, 2 * branch + 2, 1 + edition % 1_000);
   }
-
-  private static long usedHeapBytes() {
-    for (int i = 0; i < GC_ROUNDS; i++) {
-      System.gc();
-    }
-    Runtime runtime = Runtime.getRuntime();
-    return runtime.totalMemory() - runtime.freeMemory();
-  }
 }
--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/LogSlopes.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/LogSlopes.java
@@ -103,7 +103,7 @@
   private void measureHeap() {
     for (int turns : HISTORY_TURNS) {
       for (boolean content : new boolean[] {false, true}) {
-        long beforeBytes = usedHeapBytes();
+        long beforeBytes = Heap.usedBytes();
         PartitionState state = new PartitionState();
         long offset = start(state, HEAP_PROGRAMS);
         for (int turn = 0; turn < turns; turn++) {
@@ -111,7 +111,7 @@
             state.apply(offset++, turn(programId(i), turn, content));
           }
         }
-        long heapBytes = usedHeapBytes() - beforeBytes;
+        long heapBytes = Heap.usedBytes() - beforeBytes;
         long startNs = System.nanoTime();
         long snapshotBytes = snapshotBytes(state);
         long snapshotNs = System.nanoTime() - startNs;
@@ -201,12 +201,4 @@
   private static ProgramRecord decode(Bytes encoded) throws MalformedRecordException {
     return ProgramRecordCodec.fromLogRecord(LogRecordCodec.decode(encoded)).orElseThrow();
   }
-
-  private static long usedHeapBytes() {
-    Runtime runtime = Runtime.getRuntime();
-    for (int i = 0; i < 3; i++) {
-      System.gc();
-    }
-    return runtime.totalMemory() - runtime.freeMemory();
-  }
 }
--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/MembershipSlopes.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/MembershipSlopes.java
@@ -24,7 +24,6 @@
   private static final long PARTITION_MS = 30_000;
   private static final long NS_PER_MS = 1_000_000;
   private static final double MS_PER_SECOND = 1_000.0;
-  private static final int GC_ROUNDS = 3;
 
   private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
 
@@ -41,7 +40,7 @@
   }
 
   private String measure(int vms, int centres) {
-    long heapBefore = usedHeapBytes();
+    long heapBefore = Heap.usedBytes();
     MembershipCluster cluster = new MembershipCluster(vms, centres, SEED);
     long startMs = cluster.runUntil(() -> cluster.allHoldAllAlive(), LIMIT_MS);
     cluster.run(SETTLE_MS);
@@ -55,7 +54,7 @@
         (threads.getCurrentThreadCpuTime() - cpuNs) / (double) (vms * STEADY_MS * NS_PER_MS);
     double bytesPerSecond = (cluster.sentBytes() - bytes) / vmSeconds;
     double messagesPerSecond = (cluster.sentMessages() - messages) / vmSeconds;
-    double heapPerMember = (usedHeapBytes() - heapBefore) / ((double) vms * vms);
+    double heapPerMember = (Heap.usedBytes() - heapBefore) / ((double) vms * vms);
 
     cluster.join();
     long joinMs = cluster.runUntil(() -> cluster.allHoldAllAlive(), LIMIT_MS);
@@ -103,12 +102,4 @@
     double seconds = durationMs / MS_PER_SECOND;
     return new Healing(durationMs, Math.round((cluster.mostSentBytes() - before) / seconds));
   }
-
-  private static long usedHeapBytes() {
-    for (int i = 0; i < GC_ROUNDS; i++) {
-      System.gc();
-    }
-    Runtime runtime = Runtime.getRuntime();
-    return runtime.totalMemory() - runtime.freeMemory();
-  }
 }
--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/policy/FootprintCommand.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/policy/FootprintCommand.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.bench.policy;
 
 import com.github.rvesse.airline.annotations.Command;
+import io.magnoliaroute.bench.capacity.Heap;
 import java.util.Locale;
 
 /** Measures the memory of waiting calls and of endpoints. */
@@ -11,7 +12,6 @@
   private static final int MANY_CALLS = 220_000;
   private static final int FEW_ENDPOINTS = 1_000;
   private static final int MANY_ENDPOINTS = 21_000;
-  private static final int COLLECTIONS = 4;
 
   /** Prints the difference in used heap between two sizes for each more call or endpoint. */
   @Override
@@ -31,21 +31,13 @@
   }
 
   private static long heapBytes(int endpoints, int calls) {
-    long before = usedBytes();
+    long before = Heap.usedBytes();
     GroupFixture group = new GroupFixture(endpoints);
     group.offer(calls, 1_000_000);
-    long after = usedBytes();
+    long after = Heap.usedBytes();
     if (group.scheduler.waitingCount() != calls) {
       throw new IllegalStateException("waiting calls: " + group.scheduler.waitingCount());
     }
     return after - before;
   }
-
-  private static long usedBytes() {
-    for (int i = 0; i < COLLECTIONS; i++) {
-      System.gc();
-    }
-    Runtime runtime = Runtime.getRuntime();
-    return runtime.totalMemory() - runtime.freeMemory();
-  }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/metrics/DaemonMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/metrics/DaemonMetrics.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.Snapshot;
 import io.magnoliaroute.core.model.PriorityClass;
 import io.magnoliaroute.core.model.TeamId;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -15,9 +16,18 @@
 /** The counters and histograms of this VM, with the text form of {@code /metrics}. */
 public final class DaemonMetrics {
 
+  /**
+   * Histograms of single teams that are kept, the ones used last. One histogram takes about 30 KB,
+   * so a series for each of 9,200 teams and 3 classes would not fit into the memory of a VM.
+   */
+  static final int MAX_TEAM_SERIES = 256;
+
+  private static final float LOAD_FACTOR = 0.75f;
   private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
   private final MetricRegistry registry = new MetricRegistry();
+  private final Map<String, Histogram> teamSeries =
+      new LinkedHashMap<>(MAX_TEAM_SERIES, LOAD_FACTOR, true);
 
   /** Counts an event. */
   public void count(String name) {
@@ -35,10 +45,12 @@
     return counter == null ? 0 : counter.getCount();
   }
 
-  /** Records a time for a team and class. */
+  /** Records a time for a class, and for the team in it. */
   public void time(String name, TeamId team, PriorityClass priority, long valueMs) {
-    String labels = "{team=\"" + team + "\",class=\"" + priority.wireName() + "\"}";
-    histogram(name + labels).update(Math.max(0, valueMs));
+    String classLabel = "class=\"" + priority.wireName() + "\"";
+    long recordedMs = Math.max(0, valueMs);
+    histogram(name + "{" + classLabel + "}").update(recordedMs);
+    teamHistogram(name + "{team=\"" + team + "\"," + classLabel + "}").update(recordedMs);
   }
 
   /** Shows a value that is read on each request. */
@@ -58,7 +70,30 @@
   }
 
   private Histogram histogram(String name) {
-    return registry.histogram(name, () -> new Histogram(new HdrHistogramReservoir()));
+    return registry.histogram(name, DaemonMetrics::newHistogram);
+  }
+
+  /** Returns the series of a team; the one that was not used for longest makes room for it. */
+  private Histogram teamHistogram(String name) {
+    synchronized (teamSeries) {
+      Histogram known = teamSeries.get(name);
+      if (known != null) {
+        return known;
+      }
+      if (teamSeries.size() >= MAX_TEAM_SERIES) {
+        String oldest = teamSeries.keySet().iterator().next();
+        teamSeries.remove(oldest);
+        registry.remove(oldest);
+        count("metrics_evicted_series");
+      }
+      Histogram made = registry.histogram(name, DaemonMetrics::newHistogram);
+      teamSeries.put(name, made);
+      return made;
+    }
+  }
+
+  private static Histogram newHistogram() {
+    return new Histogram(new HdrHistogramReservoir());
   }
 
   private static void addQuantiles(Map<String, String> lines, String name, Histogram histogram) {
