Confirm ownership before answers and tend partitions without requests

A VM that had claimed a partition and not read a newer claim answered 404 for a program of another owner: the process test with a paused VM failed once with unknown_program. An owner now reads to the end of the stream when its lease has run out, before it answers; while the log is down it goes on from memory.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
@@ -1,5 +1,7 @@
 package io.magnoliaroute.daemon;
 
+import io.magnoliaroute.core.config.CarryForwardSchedule;
+import io.magnoliaroute.core.config.ConfigCarryForward;
 import io.magnoliaroute.core.log.LogPort;
 import io.magnoliaroute.core.log.WriterId;
 import io.magnoliaroute.core.membership.Member;
@@ -23,7 +25,10 @@
 import io.magnoliaroute.daemon.platform.BudgetDesk;
 import io.magnoliaroute.daemon.platform.ConfigFollower;
 import io.magnoliaroute.daemon.platform.ControlFollower;
+import io.magnoliaroute.daemon.platform.LogRetention;
+import io.magnoliaroute.daemon.platform.VmListFollower;
 import io.magnoliaroute.daemon.program.PartitionHost;
+import io.magnoliaroute.daemon.program.PartitionTending;
 import io.magnoliaroute.daemon.program.Partitions;
 import io.magnoliaroute.daemon.program.ProgramMemory;
 import io.magnoliaroute.daemon.program.ProgramService;
@@ -45,6 +50,9 @@
 /** One daemon: joins the parts, starts and stops them. */
 public final class Daemon {
 
+  private static final long SETTLE_MS = 3_000;
+  private static final long CARRY_FORWARD_MS = 60_000;
+
   private final Vertx vertx;
   private final ProcessSettings process;
   private final InstantSource clock;
@@ -142,7 +150,7 @@
               peerPort = port;
               config.start(vertx).onComplete(read -> markReady());
               control.start(vertx);
-              vertx.setPeriodic(EngineMemory.LISTING_MS, timer -> engineMemory.poll());
+              startControllers();
               return frontEnd.listen(process.httpListen(), eventLoops);
             });
   }
@@ -216,6 +224,38 @@
         this::status);
   }
 
+  /** Starts what runs without a request: owned state, snapshots, engine memory, the VM list. */
+  private void startControllers() {
+    vertx.setPeriodic(EngineMemory.LISTING_MS, timer -> engineMemory.poll());
+    PartitionTending tending =
+        new PartitionTending(
+            partitions, peers::shouldOwn, programs::own, LogRetention.RETENTION_MS, clock, metrics);
+    ConfigCarryForward carryForward =
+        new ConfigCarryForward(
+            new CarryForwardSchedule(process.vm(), LogRetention.RETENTION_MS), writer.toString());
+    // A VM that has just started does not know its peers yet and would claim what they own.
+    vertx.setTimer(
+        SETTLE_MS,
+        settled -> {
+          vertx.setPeriodic(PartitionTending.PERIOD_MS, timer -> tend(tending));
+          vertx.setPeriodic(
+              CARRY_FORWARD_MS,
+              timer -> config.carryForward(carryForward, peers.view().owners(), clock.millis()));
+        });
+    process
+        .vmList()
+        .ifPresent(
+            address ->
+                new VmListFollower(vertx, address, peers::platformList, metrics).start(vertx));
+  }
+
+  private void tend(PartitionTending tending) {
+    if (readiness.phase() == Readiness.Phase.READY) {
+      tending.round();
+      budgets.tend(peers.view().owners());
+    }
+  }
+
   private void markReady() {
     if (config.hasSettings()) {
       readiness.ready();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineAnswer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineAnswer.java
@@ -18,4 +18,16 @@
     String finishReason,
     int promptTokens,
     int answerTokens,
-    int cachedTokens) {}
+    int cachedTokens) {
+
+  /** Returns the answer with the text that earlier, cut attempts had sent before it. */
+  public EngineAnswer after(String text, int tokens) {
+    if (text.isEmpty()) {
+      return this;
+    }
+    JsonObject whole = message.copy();
+    whole.put("content", text + message.getString("content", ""));
+    return new EngineAnswer(
+        id, whole, finishReason, promptTokens, answerTokens + tokens, cachedTokens);
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/PeerNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/PeerNode.java
@@ -157,6 +157,11 @@
     return membership.view();
   }
 
+  /** Returns whether the table names this VM as the owner of the partition. */
+  public boolean shouldOwn(int partition) {
+    return router.ownerOf(partition).equals(process.vm());
+  }
+
   /** Returns whether this VM owns the group. */
   public boolean ownsGroup(String group) {
     return router.ownerOfGroup(group).equals(process.vm());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/BudgetDesk.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/BudgetDesk.java
@@ -14,6 +14,7 @@
 import io.vertx.core.Vertx;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -78,6 +79,11 @@
     return stream(team).availability(team, units);
   }
 
+  /** Carries accounts forward and reclaims slices of VMs that are gone. */
+  public void tend(Collection<VmId> live) {
+    streams.forEach(stream -> stream.tend(live));
+  }
+
   /** Releases all slices; completes when the log has the releases. */
   public Future<Void> drain() {
     List<Future<Void>> drains = streams.stream().map(BudgetStream::drain).toList();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/BudgetStream.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/BudgetStream.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.daemon.platform;
 
 import io.magnoliaroute.core.budget.BudgetAvailability;
+import io.magnoliaroute.core.budget.BudgetCarryForward;
 import io.magnoliaroute.core.budget.BudgetCodec;
 import io.magnoliaroute.core.budget.BudgetFormatException;
 import io.magnoliaroute.core.budget.BudgetHolder;
@@ -9,6 +10,8 @@
 import io.magnoliaroute.core.budget.BudgetRecord;
 import io.magnoliaroute.core.budget.BudgetVerdict;
 import io.magnoliaroute.core.budget.Reservation;
+import io.magnoliaroute.core.budget.SliceReclaimer;
+import io.magnoliaroute.core.config.CarryForwardSchedule;
 import io.magnoliaroute.core.log.LogEntry;
 import io.magnoliaroute.core.log.LogPort;
 import io.magnoliaroute.core.model.Bytes;
@@ -24,6 +27,7 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -37,6 +41,9 @@
   private static final long RETRY_AFTER_MS = 1_000;
   private static final long RETRY_READ_MS = 200;
   private static final long IDLE_READ_MS = 2_000;
+  // A VM that is held for dead by mistake comes back within the grace and keeps its slices.
+  private static final long RECLAIM_GRACE_MS = 10_000;
+  private static final long RECLAIM_STAGGER_MS = 2_000;
 
   private record Waiting(TeamId team, long units, long untilMs, Promise<Reservation> promise) {}
 
@@ -47,6 +54,8 @@
   private final ReentrantLock lock = new ReentrantLock();
   private final BudgetLedger ledger = new BudgetLedger();
   private final BudgetHolder holder;
+  private final BudgetCarryForward carryForward;
+  private final SliceReclaimer reclaimer;
   private final StreamTail tail;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private final List<Promise<Void>> draining = new ArrayList<>();
@@ -66,6 +75,9 @@
     this.log = log;
     this.clock = clock;
     this.metrics = metrics;
+    this.carryForward =
+        new BudgetCarryForward(new CarryForwardSchedule(vm, LogRetention.RETENTION_MS), writer);
+    this.reclaimer = new SliceReclaimer(vm, writer, RECLAIM_GRACE_MS, RECLAIM_STAGGER_MS);
     this.holder = new BudgetHolder(vm, writer, ledger, BudgetHolderLimits.defaults());
     this.tail = new StreamTail(log, stream, new Records());
   }
@@ -104,6 +116,26 @@
         });
   }
 
+  /** Appends snapshots of accounts and reclaims slices of VMs that are gone. */
+  void tend(Collection<VmId> live) {
+    long nowMs = clock.millis();
+    List<BudgetRecord> due =
+        locked(
+            held -> {
+              if (!tipReached) {
+                return List.of();
+              }
+              List<BudgetRecord> records = new ArrayList<>(carryForward.poll(ledger, live, nowMs));
+              records.addAll(reclaimer.poll(ledger, live, nowMs));
+              return records;
+            });
+    if (!due.isEmpty()) {
+      Future.fromCompletionStage(
+              log.append(tail.stream(), due.stream().map(BudgetCodec::encode).toList()))
+          .onFailure(failure -> metrics.count("budget_append_failures"));
+    }
+  }
+
   BudgetAvailability availability(TeamId team, long units) {
     return locked(held -> held.availability(team, units, clock.millis()));
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/ConfigFollower.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/ConfigFollower.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.daemon.platform;
 
 import io.magnoliaroute.core.config.BranchEntry;
+import io.magnoliaroute.core.config.ConfigCarryForward;
 import io.magnoliaroute.core.config.ConfigCodec;
 import io.magnoliaroute.core.config.ConfigExchange;
 import io.magnoliaroute.core.config.ConfigFormatException;
@@ -13,6 +14,7 @@
 import io.magnoliaroute.core.log.LogPort;
 import io.magnoliaroute.core.model.Bytes;
 import io.magnoliaroute.core.model.TeamId;
+import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.settings.BranchName;
 import io.magnoliaroute.core.settings.SettingsTree;
 import io.magnoliaroute.daemon.metrics.DaemonMetrics;
@@ -20,6 +22,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -91,6 +94,16 @@
         .compose(read -> verdict.future());
   }
 
+  /** Appends the snapshots that this VM is to write now, so that no branch outlives the log. */
+  public void carryForward(ConfigCarryForward planner, Collection<VmId> live, long nowMs) {
+    List<Bytes> due =
+        withState(
+            held -> planner.poll(held, live, nowMs).stream().map(ConfigCodec::encode).toList());
+    if (!due.isEmpty()) {
+      Future.fromCompletionStage(log.append(STREAM, due)).onFailure(this::countFailure);
+    }
+  }
+
   /** Returns the summary to send to a peer that announced the version, if this VM is behind. */
   public Optional<Bytes> pullIfBehind(long peerVersion) {
     return withState(held -> ConfigExchange.pullIfBehind(held, peerVersion))
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/VmListFollower.java
@@ -0,0 +1,75 @@
+package io.magnoliaroute.daemon.platform;
+
+import io.magnoliaroute.core.membership.PeerAddress;
+import io.magnoliaroute.core.membership.PlatformList;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Reads the platform's VM list from time to time. */
+public final class VmListFollower {
+
+  private static final long POLL_MS = 2_000;
+  private static final int CONNECT_TIMEOUT_MS = 500;
+
+  private final HttpClient client;
+  private final HostPort address;
+  private final Consumer<PlatformList> listener;
+  private final DaemonMetrics metrics;
+
+  /** Makes a follower; {@link #start} begins to read. */
+  public VmListFollower(
+      Vertx vertx, HostPort address, Consumer<PlatformList> listener, DaemonMetrics metrics) {
+    this.client =
+        vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+    this.address = address;
+    this.listener = listener;
+    this.metrics = metrics;
+  }
+
+  /** Reads now and then periodically. */
+  public void start(Vertx vertx) {
+    read();
+    vertx.setPeriodic(POLL_MS, timer -> read());
+  }
+
+  private void read() {
+    RequestOptions target =
+        new RequestOptions()
+            .setMethod(HttpMethod.GET)
+            .setHost(address.host())
+            .setPort(address.port())
+            .setURI("/vms")
+            .setTimeout(POLL_MS)
+            .setIdleTimeout(POLL_MS);
+    client
+        .request(target)
+        .compose(request -> request.send())
+        .compose(response -> response.body())
+        .map(body -> list(body.toJsonObject()))
+        .onSuccess(listener::accept)
+        .onFailure(failure -> metrics.count("vm_list_failures"));
+  }
+
+  private static PlatformList list(JsonObject json) {
+    List<PlatformList.PlatformVm> vms = new ArrayList<>();
+    for (Object each : json.getJsonArray("vms")) {
+      JsonObject vm = (JsonObject) each;
+      vms.add(
+          new PlatformList.PlatformVm(
+              new VmId(vm.getString("vm")),
+              new PeerAddress(vm.getString("host"), vm.getInteger("port")),
+              vm.getBoolean("leaving", false)));
+    }
+    return new PlatformList(json.getLong("version", 0L), vms);
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionHost.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionHost.java
@@ -44,6 +44,7 @@
   private final int partition;
   private Future<Void> claiming;
   private Future<Void> reading;
+  private long confirmAgainMs;
 
   /**
    * Makes the host of one partition.
@@ -120,17 +121,26 @@
     return promise.future();
   }
 
-  /** Completes when the lease is valid now; fails when the log or another claim stands against. */
-  Future<Void> proveLease() {
-    if (read(held -> held.lease().validAt(clock.millis()))) {
+  /**
+   * Completes when the state is recent enough to answer from: another VM may have claimed the
+   * partition since the last read. While the log does not answer, the owner goes on from memory.
+   */
+  Future<Void> confirm() {
+    long nowMs = clock.millis();
+    boolean recent = read(held -> held.lease().validAt(nowMs) || nowMs < confirmAgainMs);
+    if (recent) {
       return Future.succeededFuture();
     }
     return catchUp()
-        .compose(
-            done ->
-                read(held -> held.lease().validAt(clock.millis()))
-                    ? Future.succeededFuture()
-                    : Future.failedFuture(moved()));
+        .recover(
+            failure -> {
+              read(
+                  held -> {
+                    confirmAgainMs = clock.millis() + Partitions.LEASE_MS;
+                    return null;
+                  });
+              return Future.succeededFuture();
+            });
   }
 
   /** Submits a record under the epoch in force. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ProgramService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ProgramService.java
@@ -90,10 +90,14 @@
   }
 
   /** Takes the partition where this VM does not hold it, and settles what an earlier owner left. */
-  private Future<Void> own(PartitionHost host) {
+  public Future<Void> own(PartitionHost host) {
     if (host.isOwner()) {
-      return Future.succeededFuture();
+      return host.confirm().compose(read -> host.isOwner() ? Future.succeededFuture() : take(host));
     }
+    return take(host);
+  }
+
+  private Future<Void> take(PartitionHost host) {
     recovered.remove(host.partition());
     return host.own()
         .onSuccess(
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
@@ -2,7 +2,6 @@
 
 import io.magnoliaroute.core.budget.Reservation;
 import io.magnoliaroute.core.model.CallId;
-import io.magnoliaroute.core.model.PriorityClass;
 import io.magnoliaroute.core.program.HeldTurn;
 import io.magnoliaroute.core.program.Turn;
 import io.magnoliaroute.core.schedule.CallEnding;
@@ -26,7 +25,6 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.json.JsonObject;
 
 /**
  * One model turn at the partition owner: slot, stream, history, final event. It is used on the
@@ -124,7 +122,9 @@
   public void onTokens(Buffer events, int tokensSoFar) {
     long nowMs = services.nowMs();
     if (slot.isFirstToken() && attemptsMade == 1 && tokensBefore == 0) {
-      services.metrics().time("first_token_ms", plan.view().team(), priority(), nowMs - arrivedMs);
+      services
+          .metrics()
+          .time("first_token_ms", plan.view().team(), plan.view().priority(), nowMs - arrivedMs);
     }
     slot.tokens(tokensSoFar, nowMs);
     reply.tokens(events);
@@ -140,7 +140,7 @@
     release(CallEnding.COMPLETED, answer.cachedTokens());
     running = null;
     services.retries().succeeded(plan.view().team(), plan.pool().id(), services.nowMs());
-    EngineAnswer whole = withTextBefore(answer);
+    EngineAnswer whole = answer.after(textBefore.toString(), tokensBefore);
     int used = whole.promptTokens() + whole.answerTokens();
     settle(used);
     services.memory().noteCached(plan.view().id(), slot.endpoint(), used);
@@ -219,7 +219,7 @@
     slot = new SlotUse(services.slots(), group, granted, services.nowMs());
     services
         .metrics()
-        .time("wait_ms", plan.view().team(), priority(), services.nowMs() - arrivedMs);
+        .time("wait_ms", plan.view().team(), plan.view().priority(), services.nowMs() - arrivedMs);
     running =
         services
             .engines()
@@ -244,21 +244,6 @@
     }
   }
 
-  private EngineAnswer withTextBefore(EngineAnswer answer) {
-    if (textBefore.length() == 0) {
-      return answer;
-    }
-    JsonObject message = answer.message().copy();
-    message.put("content", textBefore + message.getString("content", ""));
-    return new EngineAnswer(
-        answer.id(),
-        message,
-        answer.finishReason(),
-        answer.promptTokens(),
-        answer.answerTokens() + tokensBefore,
-        answer.cachedTokens());
-  }
-
   private void noteCrash() {
     services
         .retries()
@@ -298,22 +283,21 @@
             answer.answerTokens());
     HeldTurn completed = new HeldTurn(host.partition(), plan.view().id(), turn);
     Future<Applied> applied = host.appendTurn(completed);
-    long timer = services.vertx().setTimer(LOG_WAIT_MS, fired -> runFinish(answer, false));
+    long timer =
+        services
+            .vertx()
+            .setTimer(LOG_WAIT_MS, fired -> context.runOnContext(run -> finish(answer, false)));
     applied.onComplete(
         done -> {
           services.vertx().cancelTimer(timer);
           if (done.succeeded() && done.result().accepted()) {
-            runFinish(answer, true);
+            context.runOnContext(run -> finish(answer, true));
           } else {
             context.runOnContext(run -> historyRefused());
           }
         });
   }
 
-  private void runFinish(EngineAnswer answer, boolean logged) {
-    context.runOnContext(run -> finish(answer, logged));
-  }
-
   private void finish(EngineAnswer answer, boolean logged) {
     if (ended) {
       return;
@@ -325,7 +309,7 @@
     }
     services
         .metrics()
-        .time("turn_ms", plan.view().team(), priority(), services.nowMs() - arrivedMs);
+        .time("turn_ms", plan.view().team(), plan.view().priority(), services.nowMs() - arrivedMs);
     reply.done(answer, plan.number(), logged, urgentDemoted);
   }
 
@@ -414,8 +398,4 @@
     services.vertx().cancelTimer(deadlineTimer);
     onEnd.run();
   }
-
-  private PriorityClass priority() {
-    return plan.view().priority();
-  }
 }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/ProcessFaultsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/ProcessFaultsTest.java
@@ -47,6 +47,7 @@
       daemons.add(DaemonProcess.start(plan, plans, world.logAddress(), directory));
     }
     Await.until("the daemons see each other", this::allSeeAll);
+    Await.until("the last daemon owns a partition", () -> ownsPartitions(daemons.get(2)));
   }
 
   @AfterEach
@@ -72,7 +73,6 @@
         () ->
             world.engine(0).runningCalls() + world.engine(1).runningCalls() > 0
                 && world.service().arrivals() > 0);
-    assertTrue(ownsPartitions(daemons.get(2)), "the killed daemon owns nothing");
     daemons.get(2).kill();
     for (String program : programs) {
       finishTurn(program, streams.get(program));
@@ -92,7 +92,6 @@
       paused.put(program, caller.actionLater(program, "capture_payment", "pay", 8_000));
     }
     Await.until("actions arrive", () -> world.service().arrivals() > 0);
-    assertTrue(ownsPartitions(daemons.get(2)), "the paused daemon owns nothing");
     daemons.get(2).signal("STOP");
     try {
       Map<String, CompletableFuture<Caller.Reply>> turns = new LinkedHashMap<>();
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/platform/StandinVmList.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/platform/StandinVmList.java
@@ -14,6 +14,7 @@
 
   private final Map<String, JsonObject> current = new LinkedHashMap<>();
   private JsonArray published = new JsonArray();
+  private long version;
 
   /** Adds or replaces a VM; the list shows it after {@link #publish()}. */
   public synchronized void put(String vm, String host, int port, boolean leaving) {
@@ -32,15 +33,24 @@
     JsonArray vms = new JsonArray();
     current.values().forEach(vm -> vms.add(vm.copy()));
     published = vms;
+    version++;
   }
 
   /** Starts the list on a loopback port. */
   public Future<StandinServer> start(Vertx vertx) {
     Router router = Router.router(vertx);
-    router.get("/vms").handler(context -> context.json(new JsonObject().put("vms", visible())));
+    router
+        .get("/vms")
+        .handler(
+            context ->
+                context.json(new JsonObject().put("version", version()).put("vms", visible())));
     return StandinServer.listen(vertx, router);
   }
 
+  private synchronized long version() {
+    return version;
+  }
+
   private synchronized JsonArray visible() {
     return published.copy();
   }
