--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/package-info.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/capacity/package-info.java
@@ -1,2 +1,5 @@
-/** Cost of control for each VM, and how it grows with the number of VMs. */
+/**
+ * Measures the slopes of processor time, memory and bytes from which the capacity of a VM follows:
+ * membership, log, configuration.
+ */
 package io.magnoliaroute.bench.capacity;
