Park at most four calls of a class in one dispatch

Cause: p95 of program latency over all classes missed both bounds, because bulk work got nothing until the spike was over.

Change: 4 instead of 8 parked calls of a class, after which a free slot goes to the next class. Urgent calls never park, so their precedence stays strict.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/Dispatcher.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/Dispatcher.java
@@ -17,7 +17,7 @@
    * slot goes to the next class or stays free until the next release. More of them cost time in
    * each dispatch and keep the next class from slots that no call of this class wants.
    */
-  private static final int MAX_PARKED = 8;
+  private static final int MAX_PARKED = 4;
 
   private final CallQueues queues;
   private final EndpointBoard board;
