Bound the clean-up work of a dispatch and refuse every past deadline

Cause: each dispatch looked at all idle teams and at all lapsed programs with open calls, which is linear under starvation; a deadline far in the past overflowed into a positive time left.

Change: clean-up once a second; the deadline is compared before it is subtracted; the order of putEndpoint and restore is stated.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/AdmissionControl.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/AdmissionControl.java
@@ -38,10 +38,10 @@
 
   /** Returns the refusal of a call that would be served in the class, or null. */
   AdmissionDecision.Refused refusal(WaitingCall call, PriorityClass served, long nowMs) {
-    long slackMs = call.deadlineMs() - nowMs;
-    if (slackMs <= 0) {
+    if (call.deadlineMs() <= nowMs) {
       return new AdmissionDecision.Refused(RefusalReason.DEADLINE_UNREACHABLE, 0);
     }
+    long slackMs = call.deadlineMs() - nowMs;
     if (call.underWay() || ledger.knows(call.rootProgram())) {
       return null;
     }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/GroupScheduler.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/schedule/GroupScheduler.java
@@ -18,6 +18,9 @@
 
   private static final long RETRY_AFTER_MS = 1_000;
 
+  /** Looking for lapsed programs and idle teams takes time linear in their number. */
+  private static final long FORGET_INTERVAL_MS = 1_000;
+
   private final SchedulingPolicy policy;
   private final SchedulerLimits limits;
   private final EndpointBoard board = new EndpointBoard();
@@ -32,6 +35,7 @@
   private final HedgePlanner hedges;
   private final Map<RefusalReason, Long> refused = new EnumMap<>(RefusalReason.class);
   private long lastSequence;
+  private long lastForgottenMs;
   private long accepted;
   private long urgentDemoted;
   private long granted;
@@ -84,8 +88,7 @@
   /** Grants free slots to waiting calls, at most one grant for each call. */
   public List<SlotGrant> dispatch(long nowMs) {
     expired += slots.expire(nowMs);
-    programs.lapse(nowMs);
-    queues.forgetIdleTeams();
+    forgetIfDue(nowMs);
     board.judge(nowMs);
     List<SlotGrant> made =
         policy.hasWindows()
@@ -161,7 +164,10 @@
     programs.end(rootProgram, nowMs);
   }
 
-  /** Takes over a grant that an earlier group owner made, after an owner change. */
+  /**
+   * Takes over a grant that an earlier group owner made, after an owner change. The endpoint is put
+   * before, so that the slot is counted.
+   */
   public void restore(WaitingCall call, SlotGrant held, long nowMs) {
     if (slots.running().find(call.id(), held.grantId()) != null) {
       return;
@@ -209,6 +215,15 @@
     return policy;
   }
 
+  private void forgetIfDue(long nowMs) {
+    if (nowMs - lastForgottenMs < FORGET_INTERVAL_MS) {
+      return;
+    }
+    lastForgottenMs = nowMs;
+    programs.lapse(nowMs);
+    queues.forgetIdleTeams();
+  }
+
   private AdmissionDecision.Refused structuralRefusal(WaitingCall call) {
     if (queues.contains(call.id()) || slots.running().contains(call.id())) {
       return new AdmissionDecision.Refused(RefusalReason.DUPLICATE_CALL, 0);
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/schedule/GroupSchedulerTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/schedule/GroupSchedulerTest.java
@@ -195,6 +195,26 @@
       assertTrue(scheduler.offer(call("brief").times(0, 20_000).build(), 0).isAccepted());
     }
 
+    /** Guards against a program that runs after its deadline, and against overflow of its slack. */
+    @Test
+    void pastDeadlineIsRefused() {
+      for (long deadlineMs : new long[] {Long.MIN_VALUE, 0, 10}) {
+        WaitingCall late = call("late").times(0, deadlineMs).underWay(true).build();
+        assertFalse(scheduler.offer(late, 10).isAccepted());
+      }
+    }
+
+    /** Guards against ended programs that are never reported and count as work for ever. */
+    @Test
+    void programWithoutCallsLapses() {
+      scheduler.offer(call("a").build(), 0);
+      scheduler.cancel(id("a"), 0);
+      scheduler.dispatch(119_999);
+      assertEquals(1, scheduler.programCount());
+      scheduler.dispatch(121_000);
+      assertEquals(0, scheduler.programCount());
+    }
+
     /** Guards against an accepted call that is dropped when its deadline passes in the queue. */
     @Test
     void acceptedCallIsGrantedEvenAfterItsDeadline() {
