Avoid failed endpoints in the daemon and show a drain once it is in force

Cause: (1) the partition owner did not name the endpoints that broke off the earlier attempts. (2) /admin/v1/endpoints showed a drain before the schedulers had taken it; at a load of 35 on 10 cores a scenario started 12 turns in between and 6 of them reached the draining endpoint. Change: TurnRun passes failed and crashed endpoints to the scheduler. Drains are shown after the groups have been refreshed. Conclusion: what operators see now implies that this VM grants nothing more.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.budget.Reservation;
 import io.magnoliaroute.core.model.CallId;
+import io.magnoliaroute.core.model.EndpointId;
 import io.magnoliaroute.core.program.HeldTurn;
 import io.magnoliaroute.core.program.Turn;
 import io.magnoliaroute.core.schedule.CallEnding;
@@ -25,6 +26,8 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
+import java.util.HashSet;
+import java.util.Set;
 
 /**
  * One model turn at the partition owner: slot, stream, history, final event. It is used on the
@@ -49,6 +52,7 @@
   private final String group;
   private final long arrivedMs;
   private final StringBuilder textBefore = new StringBuilder();
+  private final Set<EndpointId> failedEndpoints = new HashSet<>();
   private CallId call;
   private int attempt;
   private int attemptsMade;
@@ -150,6 +154,7 @@
   @Override
   public void onFailure(EngineFailure failure) {
     services.metrics().count("engine_failures", "kind", failure.kind().name());
+    failedEndpoints.add(slot.endpoint());
     engineUsed |= failure.kind() != EngineFailure.Kind.NOT_SENT;
     keepText();
     running = null;
@@ -190,6 +195,7 @@
             .priority(plan.view().priority())
             .times(arrivedMs, deadlineMs())
             .prompt(plan.promptTokens(), memory.cachedTokens(plan.view().id()))
+            .avoidedEndpoints(avoidedEndpoints())
             .attainedServiceUnits(memory.serviceUnits(plan.root()))
             .underWay(plan.number() > 0)
             .model(chat.model())
@@ -198,6 +204,12 @@
     services.slots().request(group, waiting, this);
   }
 
+  private Set<EndpointId> avoidedEndpoints() {
+    Set<EndpointId> avoided = new HashSet<>(failedEndpoints);
+    avoided.addAll(services.retries().crashedEndpoints(plan.fingerprint(), services.nowMs()));
+    return avoided;
+  }
+
   private long deadlineMs() {
     long deadline = plan.view().deadlineAtMs();
     return deadline == 0 ? Long.MAX_VALUE : deadline;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/slot/DrainingEndpoints.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/slot/DrainingEndpoints.java
@@ -10,6 +10,7 @@
 public final class DrainingEndpoints {
 
   private final Set<EndpointId> draining = ConcurrentHashMap.newKeySet();
+  private final Set<EndpointId> inForce = ConcurrentHashMap.newKeySet();
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
   /** Starts or ends the drain of an endpoint. */
@@ -18,10 +19,23 @@
     if (changed) {
       listeners.forEach(Runnable::run);
     }
+    if (nowDraining) {
+      inForce.add(endpoint);
+    } else {
+      inForce.remove(endpoint);
+    }
+  }
+
+  /**
+   * Returns whether the schedulers of this VM have taken the drain. Operators are shown this, so
+   * that an endpoint which is shown as draining gets no new grants from this VM.
+   */
+  public boolean isInForce(EndpointId endpoint) {
+    return inForce.contains(endpoint);
   }
 
   /** Returns whether an operator drains the endpoint. */
-  public boolean isDraining(EndpointId endpoint) {
+  boolean isDraining(EndpointId endpoint) {
     return draining.contains(endpoint);
   }
 
