--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
@@ -35,7 +35,7 @@
   private static final int MAX_ATTEMPTS = 3;
   private static final long NO_TIMER = -1;
   private static final long RETRY_DELAY_MS = 50;
-  // A turn is answered as unlogged when the log has not confirmed it within this time.
+  // A turn is answered as unlogged when the log has not confirmed it by then.
   private static final long LOG_WAIT_MS = 1_000;
 
   private final ProgramServices services;
@@ -199,8 +199,7 @@
   }
 
   private long deadlineMs() {
-    long deadline = plan.view().deadlineAtMs();
-    return deadline == 0 ? Long.MAX_VALUE : deadline;
+    return plan.view().deadlineAtMs() == 0 ? Long.MAX_VALUE : plan.view().deadlineAtMs();
   }
 
   private void send(SlotGrant granted) {
@@ -332,10 +331,10 @@
   }
 
   private void startDeadline() {
-    long leftMs = deadlineMs() - services.nowMs();
     if (deadlineMs() == Long.MAX_VALUE) {
       return;
     }
+    long leftMs = deadlineMs() - services.nowMs();
     deadlineTimer =
         services
             .vertx()
