Keep a withdrawn reservation until its call has ended

A withdrawn reservation now stays in place until its call ends with hold() or release(), and hold() ends a reservation whatever its result. A test covers the case.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/HistoryBuffer.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/program/HistoryBuffer.java
@@ -37,6 +37,7 @@
     private final int partition;
     private final Deque<Held> turns = new ArrayDeque<>();
     private Optional<Integer> reservedBytes = Optional.empty();
+    private boolean withdrawn;
 
     ProgramTurns(int partition) {
       this.partition = partition;
@@ -89,28 +90,37 @@
     }
     usedBytes -= held.reservedBytes.orElse(0);
     held.reservedBytes = Optional.empty();
+    held.withdrawn = false;
     removeIfEmpty(program, held);
   }
 
   /**
-   * Holds a completed turn in the room that was reserved for it. A reservation is withdrawn when a
-   * conflict drops the turns that the call was built on.
+   * Holds a completed turn in the room that was reserved for it. This ends the reservation,
+   * whatever the result. A conflict that drops the turns which the call was built on withdraws it;
+   * the program takes no other reservation until the call has ended.
    *
    * @param loggedTurns the number of turns in the program's history as far as it was read
    */
   public HoldResult hold(HeldTurn completed, int loggedTurns) {
     ProgramId program = completed.program();
     Turn turn = Objects.requireNonNull(completed.turn(), "turn");
-    if (turn.number() != nextTurn(program, loggedTurns)) {
-      return HoldResult.OUT_OF_ORDER;
+    ProgramTurns reserved = programs.get(program);
+    if (reserved == null || reserved.reservedBytes.isEmpty()) {
+      return HoldResult.NOT_RESERVED;
     }
-    ProgramTurns held = programs.get(program);
-    if (held == null || held.reservedBytes.isEmpty()) {
+    boolean withdrawn = reserved.withdrawn;
+    release(program);
+    if (withdrawn) {
       return HoldResult.NOT_RESERVED;
     }
-    usedBytes += turn.sizeBytes() - held.reservedBytes.orElseThrow();
-    held.reservedBytes = Optional.empty();
-    held.turns.addLast(new Held(turn));
+    if (turn.number() != nextTurn(program, loggedTurns)) {
+      return HoldResult.OUT_OF_ORDER;
+    }
+    programs
+        .computeIfAbsent(program, id -> new ProgramTurns(completed.partition()))
+        .turns
+        .addLast(new Held(turn));
+    usedBytes += turn.sizeBytes();
     return HoldResult.HELD;
   }
 
@@ -249,11 +259,7 @@
     if (!reserve(partition, program, turn.sizeBytes()).held()) {
       return false;
     }
-    boolean held = hold(new HeldTurn(partition, program, turn), loggedTurns).held();
-    if (!held) {
-      release(program);
-    }
-    return held;
+    return hold(new HeldTurn(partition, program, turn), loggedTurns).held();
   }
 
   private TurnFit fitOf(ProgramId program, Optional<ProgramView> view, Turn turn) {
@@ -279,9 +285,7 @@
         usedBytes -= turn.sizeBytes();
       }
     }
-    if (!conflicts.isEmpty()) {
-      release(program);
-    }
+    held.withdrawn |= !conflicts.isEmpty() && held.reservedBytes.isPresent();
     removeIfEmpty(program, held);
     return conflicts;
   }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SimVm.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/action/SimVm.java
@@ -9,23 +9,18 @@
 import io.magnoliaroute.core.log.RecordId;
 import io.magnoliaroute.core.log.RecordSequence;
 import io.magnoliaroute.core.log.WriterId;
-import io.magnoliaroute.core.model.Bytes;
 import io.magnoliaroute.core.model.PriorityClass;
 import io.magnoliaroute.core.model.ProgramId;
 import io.magnoliaroute.core.model.TeamId;
 import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.program.AppliedRecord;
 import io.magnoliaroute.core.program.EndReason;
-import io.magnoliaroute.core.program.HeldTurn;
-import io.magnoliaroute.core.program.HistoryBuffer;
 import io.magnoliaroute.core.program.PartitionLease;
 import io.magnoliaroute.core.program.PartitionOwner;
 import io.magnoliaroute.core.program.PartitionReader;
 import io.magnoliaroute.core.program.ProgramRecord;
 import io.magnoliaroute.core.program.ProgramRecordCodec;
-import io.magnoliaroute.core.program.ProgramView;
 import io.magnoliaroute.core.program.SnapshotPlanner;
-import io.magnoliaroute.core.program.Turn;
 import io.magnoliaroute.core.program.Verdict;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -45,14 +40,6 @@
   private static final long STEP_MS = 20;
   private static final long SUSPECT_AFTER_MS = 300;
   private static final long READ_TIMEOUT_MS = 150;
-  private static final long UNLOGGED_AFTER_MS = 700;
-  private static final int PARTITION = 0;
-
-  /** A turn that a caller waits for. */
-  private record Waiter(Turn turn, long sinceMs, Consumer<TurnReply> told) {}
-
-  /** What a caller is told of a turn; the next turn number is that of the owner's view. */
-  record TurnReply(boolean done, boolean logged, int nextTurn) {}
 
   final String name;
   final PartitionReader reader = new PartitionReader("program-0", 16);
@@ -65,13 +52,12 @@
   private final PartitionLease lease;
   private final PartitionOwner owner;
   private final GroupCommitter committer;
-  private final HistoryBuffer history = new HistoryBuffer(4_000, 4);
+  private final SimTurns turns;
   private final SnapshotPlanner planner = new SnapshotPlanner(RETENTION_MS, 600);
   private final Deque<ProgramRecord.Snapshot> snapshotParts = new ArrayDeque<>();
   private final List<ActionFlow> flows = new ArrayList<>();
   private final List<ActionRecovery> recoveries = new ArrayList<>();
   private final Map<RecordId, Consumer<Verdict>> starts = new HashMap<>();
-  private final Map<ProgramId, Waiter> waiters = new HashMap<>();
   private final Map<ActionFlow, Consumer<ActionReply>> callers = new HashMap<>();
   private boolean crashed;
   private boolean wantsOwnership;
@@ -94,6 +80,7 @@
     this.owner = new PartitionOwner(reader, lease, ids);
     CommitLimits limits = new CommitLimits(8, 4_000, 40, 60_000, 40, 30, 300);
     this.committer = new GroupCommitter("program-0", limits, time.split());
+    this.turns = new SimTurns(name, time, reader);
     time.in(1, this::step);
   }
 
@@ -157,22 +144,12 @@
         });
   }
 
-  void turn(ProgramId program, int number, String content, Consumer<TurnReply> told) {
+  void turn(ProgramId program, int number, String content, Consumer<SimTurns.Reply> told) {
     deliver(
         () -> {
-          Optional<ProgramView> view = reader.state().program(program);
-          if (!held() || !reader.complete() || view.isEmpty()) {
-            return;
-          }
-          int next = history.nextTurn(program, view.get().nextTurn());
-          boolean fits = number == next && history.reserve(PARTITION, program, 60).held();
-          if (!fits) {
-            told.accept(new TurnReply(false, false, next));
-            return;
+          if (held() && reader.complete()) {
+            turns.begin(program, number, content, told, this::deliver);
           }
-          Bytes answer = Bytes.ofUtf8(name + "<" + previous(program, view.get()));
-          Turn turn = new Turn(number, 0, Bytes.ofUtf8(content), answer, 1, 1);
-          time.in(time.between(10, 80), () -> deliver(() -> complete(program, turn, told)));
         });
   }
 
@@ -186,22 +163,6 @@
         });
   }
 
-  /** Returns the request of the newest turn, which the answer to the next one depends on. */
-  private String previous(ProgramId program, ProgramView view) {
-    List<Turn> turns = new ArrayList<>(view.turns());
-    turns.addAll(history.turns(program));
-    return turns.isEmpty() ? "" : turns.get(turns.size() - 1).request().toUtf8();
-  }
-
-  private void complete(ProgramId program, Turn turn, Consumer<TurnReply> told) {
-    int logged = reader.state().program(program).map(ProgramView::nextTurn).orElse(0);
-    if (!history.hold(new HeldTurn(PARTITION, program, turn), logged).held()) {
-      history.release(program);
-      return;
-    }
-    waiters.put(program, new Waiter(turn, time.nowMs(), told));
-  }
-
   /** Runs a step now, or after the pause, unless the VM has crashed. */
   private void deliver(Runnable step) {
     if (crashed) {
@@ -236,8 +197,7 @@
     }
     if (held() && reader.complete() && recoveredEpoch != lease.epoch()) {
       recoveredEpoch = lease.epoch();
-      history.rewrite(PARTITION);
-      history.reconcile(PARTITION, reader.state());
+      turns.rewrite();
       startRecoveries();
     }
   }
@@ -254,11 +214,7 @@
 
   private void write() {
     if (held() && reader.complete()) {
-      for (var record : history.flush(PARTITION, lease.epoch(), ids)) {
-        if (!append(record)) {
-          history.notTaken(record);
-        }
-      }
+      turns.flush(lease.epoch(), ids, this::append);
       if (planner.due(reader, time.nowMs())) {
         snapshotParts.clear();
         snapshotParts.addAll(planner.plan(reader.state(), ids, time.nowMs()));
@@ -301,8 +257,7 @@
     reading = false;
     PartitionReader.ReadResult result = reader.accept(request, page, issuedAtMs);
     if (result.restored()) {
-      history.rewrite(PARTITION);
-      history.reconcile(PARTITION, reader.state());
+      turns.rewrite();
       for (ActionFlow flow : List.copyOf(flows)) {
         run(flow, callers.get(flow), flow.onRestored(time.nowMs()));
       }
@@ -312,7 +267,7 @@
 
   private void onApplied(AppliedRecord applied) {
     committer.readBack(applied.record().id());
-    history.onApplied(applied, reader.state());
+    turns.onApplied(applied);
     Consumer<Verdict> start = starts.remove(applied.record().id());
     if (start != null) {
       start.accept(applied.verdict());
@@ -332,27 +287,7 @@
       run(recovery, recovery.tick(time.nowMs()));
     }
     recoveries.removeIf(ActionRecovery::closed);
-    for (ProgramId program : List.copyOf(waiters.keySet())) {
-      answer(program, waiters.get(program));
-    }
-  }
-
-  private void answer(ProgramId program, Waiter waiter) {
-    Optional<ProgramView> view = reader.state().program(program);
-    int number = waiter.turn().number();
-    boolean logged =
-        reader.complete()
-            && view.isPresent()
-            && view.get().nextTurn() > number
-            && view.get().turns().get(number).equals(waiter.turn());
-    boolean heldStill = history.turns(program).contains(waiter.turn());
-    boolean late = time.nowMs() - waiter.sinceMs() > UNLOGGED_AFTER_MS;
-    if (logged || (heldStill && late)) {
-      waiter.told().accept(new TurnReply(true, logged, number + 1));
-      waiters.remove(program);
-    } else if (!heldStill) {
-      waiters.remove(program);
-    }
+    turns.answer();
   }
 
   private boolean append(ProgramRecord record) {
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/program/HistoryBufferTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/program/HistoryBufferTest.java
@@ -99,4 +99,17 @@
     assertEquals(
         List.of(new TurnConflict(PROGRAM, turn(3, "q3"), TurnConflict.Kind.NO_ROOM)), conflicts);
   }
+
+  /** Guards against an answer that joins a history which replaced the one it was built on (G1). */
+  @Test
+  void aRunningCallLosesItsReservationToAConflict() {
+    hold(0);
+    assertTrue(buffer.reserve(0, PROGRAM, 10).held());
+    state.apply(2, new ProgramRecord.TurnAppended(ids.next(), 1, PROGRAM, turn(0, "other")));
+    buffer.reconcile(0, state);
+    assertEquals(HoldResult.OUT_OF_ORDER, buffer.reserve(0, PROGRAM, 10));
+    HeldTurn completed = new HeldTurn(0, PROGRAM, turn(1, "q1"));
+    assertEquals(HoldResult.NOT_RESERVED, buffer.hold(completed, 1));
+    assertTrue(buffer.reserve(0, PROGRAM, 10).held());
+  }
 }
