Hand a finished turn to the new owner of its partition

Cause: when a VM stops, another VM claims its partitions while their streams still run. The turn of such a stream was held by the old owner, answered as unlogged after 1 s and sent to a peer that dropped it, because a mirrored turn was held without the room that the history buffer asks for. Excluded: a lost append (the old owner wrote nothing after its claim was lost). Change: the old owner sends the turn to the new one every 100 ms and reads the stream until the turn is seen there; the new owner offers it to its history and writes it. A planned stop also waits for turns that are not yet logged. Conclusion: the reply of a turn that crosses a handover now says logged.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
@@ -102,6 +102,7 @@
         new Partitions(process.partitions(), vertx, log, clock, () -> writer, limits, random);
     slots = new LocalSlots(vertx, clock, settings, draining);
     mirrored = new MirroredTurns(process.partitions(), limits.unloggedBytes());
+    mirrored.onKept(this::offerMirrored);
     peers = new PeerNode(peerParts(limits));
     EngineTimeouts timeouts = EngineTimeouts.defaults();
     engineMemory =
@@ -202,7 +203,7 @@
             peers::leave,
             peers::servedRequests,
             budgets::drain,
-            () -> partitions.pendingRecords(clock.millis()),
+            () -> Math.max(partitions.pendingRecords(clock.millis()), partitions.unloggedTurns()),
             () -> peers.stop().compose(stopped -> frontEnd.close()),
             drainTimeoutMs());
     return new StopSequence(vertx, clock, readiness, steps).run();
@@ -287,6 +288,14 @@
     peers.mirror(partition, program, host.unloggedTurns(program));
   }
 
+  /** A turn that an earlier owner finished after it lost its claim is written by the new owner. */
+  private void offerMirrored(int partition) {
+    PartitionHost host = partitions.host(partition);
+    if (host.isOwner()) {
+      mirrored.offer(host);
+    }
+  }
+
   private void ended(ProgramId program, ProgramId root) {
     memory.cachedEndpoints(program).forEach(each -> engineMemory.release(each, program));
     endedElsewhere(program, root);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/MirroredTurns.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/MirroredTurns.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.IntConsumer;
 
 /**
  * Unlogged turns that peers copied to this VM. They are offered to the partition when this VM takes
@@ -36,6 +37,7 @@
   private final Map<Key, TreeMap<Integer, Turn>> turns = new HashMap<>();
   private final int partitions;
   private final long maxBytes;
+  private IntConsumer onKept = partition -> {};
   private long bytes;
 
   /** Makes a store with a bound on its size. */
@@ -66,12 +68,22 @@
         fields.count(ANSWER_TOKENS, "answer_tokens"));
   }
 
+  /** Sets who hears of each partition that a turn was kept for. */
+  public void onKept(IntConsumer listener) {
+    onKept = listener;
+  }
+
   /** Keeps a turn; returns whether there was room. */
   boolean keep(int partition, ProgramId program, Turn turn) {
     boolean fits = turn.sizeBytes() <= MAX_TURN_BYTES;
-    if (!fits || partition < 0 || partition >= partitions) {
+    if (!fits || partition < 0 || partition >= partitions || !store(partition, program, turn)) {
       return false;
     }
+    onKept.accept(partition);
+    return true;
+  }
+
+  private boolean store(int partition, ProgramId program, Turn turn) {
     lock.lock();
     try {
       if (bytes + turn.sizeBytes() > maxBytes) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionCore.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionCore.java
@@ -11,6 +11,7 @@
 import io.magnoliaroute.core.log.RecordSequence;
 import io.magnoliaroute.core.log.WriterId;
 import io.magnoliaroute.core.program.AppliedRecord;
+import io.magnoliaroute.core.program.HeldTurn;
 import io.magnoliaroute.core.program.HistoryBuffer;
 import io.magnoliaroute.core.program.PartitionLease;
 import io.magnoliaroute.core.program.PartitionOwner;
@@ -153,6 +154,11 @@
     waitingTurns.put(new TurnKey(program, turn), promise);
   }
 
+  /** Takes a turn of another VM; returns whether it fits the history. */
+  boolean offer(HeldTurn turn) {
+    return history.offer(partition, turn.program(), List.of(turn.turn()), state()).isEmpty();
+  }
+
   /** Hands the held turns that are not being written to the committer, while this is the owner. */
   void flushTurns(long nowMs) {
     if (!isOwner()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionHost.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionHost.java
@@ -179,9 +179,13 @@
     return promise.future();
   }
 
-  /** Holds a turn that a peer mirrored; it is written when this VM owns the partition. */
+  /**
+   * Takes a turn that a peer mirrored and writes it while this VM owns the partition.
+   *
+   * @return whether the turn is in the history already or follows it
+   */
   public boolean holdMirrored(HeldTurn mirrored) {
-    boolean kept = read(held -> hold(held, mirrored).held());
+    boolean kept = read(held -> held.offer(mirrored));
     read(
         held -> {
           held.flushTurns(clock.millis());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/Partitions.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/Partitions.java
@@ -80,6 +80,11 @@
     return pending;
   }
 
+  /** Returns the completed turns that are not known to be logged, by this VM or a later owner. */
+  public int unloggedTurns() {
+    return hosts.get(0).read(held -> held.history().heldTurns());
+  }
+
   /** Returns the bytes of history that are not known to be logged. */
   public long unloggedBytes() {
     return hosts.get(0).read(held -> held.history().usedBytes());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
@@ -40,6 +40,8 @@
   private static final long RETRY_DELAY_MS = 50;
   // A turn is answered as unlogged when the log has not confirmed it by then.
   private static final long LOG_WAIT_MS = 1_000;
+  // Several handovers fit into the wait for the log, so that a lost message does not matter.
+  private static final long HANDOVER_MS = 100;
 
   private final ProgramServices services;
   private final PartitionHost host;
@@ -298,9 +300,11 @@
         services
             .vertx()
             .setTimer(LOG_WAIT_MS, fired -> context.runOnContext(run -> finish(answer, false)));
+    long handover = services.vertx().setPeriodic(HANDOVER_MS, fired -> handOver());
     applied.onComplete(
         done -> {
           services.vertx().cancelTimer(timer);
+          services.vertx().cancelTimer(handover);
           if (done.succeeded() && done.result().accepted()) {
             context.runOnContext(run -> finish(answer, true));
           } else {
@@ -309,6 +313,14 @@
         });
   }
 
+  /** Gives the turn to the new owner of the partition, and looks for it in the log. */
+  private void handOver() {
+    if (!host.isOwner()) {
+      services.mirror().unlogged(host.partition(), plan.view().id());
+      host.catchUp().onFailure(failure -> services.metrics().count("handover_read_failures"));
+    }
+  }
+
   private void finish(EngineAnswer answer, boolean logged) {
     if (ended) {
       return;
