Use a grant that is accepted on a repeated append

Cause: a grant that was refused is no slice of the ledger, so a repeated append of it can be accepted later, when budget has come back. Change: the holder remembers refused grants and takes one over if it is accepted later. Availability counts what its own releases are about to return.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetHolder.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/BudgetHolder.java
@@ -130,7 +130,7 @@
     if (available >= units) {
       return BudgetAvailability.READY;
     }
-    long reachable = available + holding.unopenedUnits(period);
+    long reachable = available + holding.unopenedUnits(period) + holding.returningUnits(period);
     reachable += holding.pendingGrant == null ? 0 : grantOf(holding).amountUnits();
     long remaining = ledger.remainingUnits(team, period, holding.settings.unitsPerPeriod());
     return units <= reachable + Math.max(0, remaining)
@@ -192,18 +192,24 @@
       return;
     }
     long number = Long.parseLong(grant.slice().substring(writer.length() + 1));
-    if (number <= holding.lastDecidedGrant) {
+    // A repeated append of a refused grant may be accepted once budget has been returned.
+    boolean refusedBefore = holding.refusedGrants.remove(number);
+    if (!refusedBefore && number <= holding.lastDecidedGrant) {
       return;
     }
-    holding.lastDecidedGrant = number;
-    holding.pendingGrant = null;
+    if (!refusedBefore) {
+      holding.lastDecidedGrant = number;
+      holding.pendingGrant = null;
+    }
     Optional<SliceState> state = ledger.slice(grant.team(), grant.period(), grant.slice());
     if (state.isPresent() && state.get().phase() != SlicePhase.RELEASED) {
       holding.slices.put(grant.slice(), new HolderSlice(grant.period(), state.get(), nowMs));
       holding.lastAmountUnits = grant.amountUnits();
       holding.lastGrantMs = nowMs;
-    } else if (verdict == BudgetVerdict.BUDGET_EXCEEDED) {
-      holding.lastAmountUnits = 0;
+    } else if (state.isEmpty()) {
+      holding.addRefused(number);
+      holding.lastAmountUnits =
+          verdict == BudgetVerdict.BUDGET_EXCEEDED ? 0 : holding.lastAmountUnits;
     }
   }
 
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/TeamHolding.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/budget/TeamHolding.java
@@ -3,15 +3,20 @@
 import io.magnoliaroute.core.model.TeamId;
 import io.magnoliaroute.core.settings.BudgetSettings;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** The slices that this VM holds for one team, and the calls that wait for more. */
 final class TeamHolding {
 
+  /** Bounds memory; a forgotten grant that is accepted late stays unused until its period ends. */
+  private static final int MAX_REFUSED_GRANTS = 1_024;
+
   final TeamId team;
   final Map<String, HolderSlice> slices = new LinkedHashMap<>();
   final WaitingCalls waiting = new WaitingCalls();
@@ -19,6 +24,7 @@
   long settingsVersion;
   HolderSlice.Pending pendingGrant;
   long lastDecidedGrant;
+  final Set<Long> refusedGrants = new HashSet<>();
   long largestCallUnits;
   long lastAmountUnits;
   long lastGrantMs;
@@ -30,6 +36,13 @@
     this.team = team;
   }
 
+  void addRefused(long number) {
+    if (refusedGrants.size() >= MAX_REFUSED_GRANTS) {
+      refusedGrants.clear();
+    }
+    refusedGrants.add(number);
+  }
+
   long availableUnits(BudgetPeriod period) {
     long sum = 0;
     for (HolderSlice slice : slices.values()) {
@@ -46,6 +59,17 @@
     return sum;
   }
 
+  /** Returns what this VM's own releases give back once they are read. */
+  long returningUnits(BudgetPeriod period) {
+    long sum = 0;
+    for (HolderSlice slice : slices.values()) {
+      boolean returning = slice.period.equals(period) && slice.pendingRelease != null;
+      long held = slice.reclaimed ? slice.openedUnits : slice.amountUnits;
+      sum += returning ? held - slice.spentUnits : 0;
+    }
+    return sum;
+  }
+
   /** Takes the units from the oldest slices first, so that they are used up and released. */
   Optional<List<Reservation.Part>> take(BudgetPeriod period, long units, long nowMs) {
     if (availableUnits(period) < units) {
