Test that pauses lengthen suspicions and older lists mark nobody

Cause: removing each of these two rules on a scratch copy failed no test.

Change: one test for each.

Conclusion: no change to the code.

--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/membership/MembershipControllerTest.java
@@ -7,6 +7,7 @@
 import io.magnoliaroute.core.membership.SimulatedNetwork.Host;
 import io.magnoliaroute.core.model.VmId;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -120,6 +121,26 @@
     }
   }
 
+  /** Guards against a suspicion that runs out while the VM cannot hear the refutation. */
+  @Test
+  void aPauseLengthensSuspicionsByItsLength() {
+    MemberInfo peer = SimulatedNetwork.info("vm-8", "dc-0");
+    MemberInfo suspect = SimulatedNetwork.info("vm-9", "dc-0");
+    MembershipController controller =
+        new MembershipController(
+            SimulatedNetwork.info("vm-7", "dc-0"), 1, SimulatedNetwork.SETTINGS, new Random(1), 0);
+    MemberDelta sender = new MemberDelta(peer, 1, MemberState.ALIVE);
+    MemberDelta suspicion = new MemberDelta(suspect, 1, MemberState.SUSPECT);
+    Gossip gossip = new Gossip(sender, 0, 0, 0, List.of(suspicion));
+    controller.receive(peer.vm(), new MembershipMessage.Ack(1, gossip), 0);
+    controller.tick(2_500);
+    assertEquals(MemberState.SUSPECT, controller.view().member(suspect.vm()).orElseThrow().state());
+    for (long nowMs = 2_600; nowMs <= 4_500; nowMs += MembershipController.TICK_MS) {
+      controller.tick(nowMs);
+    }
+    assertEquals(MemberState.DEAD, controller.view().member(suspect.vm()).orElseThrow().state());
+  }
+
   /** Guards against a clock that is set back and silences the VM until it has caught up. */
   @Test
   void aClockThatIsSetBackDoesNotStopProbes() {
@@ -161,6 +182,8 @@
       second.controller.applyPlatformList(list(6, leaving(second, false)), network.nowMs);
       network.run(5_000);
       assertStateEverywhere(MemberState.ALIVE, second.info.vm());
+      first.controller.applyPlatformList(list(5, leaving(second, true)), network.nowMs);
+      assertEquals(MemberState.ALIVE, first.stateOf(second.info.vm()));
     }
   }
 
