--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
@@ -2,7 +2,7 @@
 
 import io.magnoliaroute.core.budget.Reservation;
 import io.magnoliaroute.core.model.CallId;
-import io.magnoliaroute.core.model.PriorityClass;
+import io.magnoliaroute.core.model.EndpointId;
 import io.magnoliaroute.core.program.HeldTurn;
 import io.magnoliaroute.core.program.Turn;
 import io.magnoliaroute.core.schedule.CallEnding;
@@ -26,7 +26,8 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.json.JsonObject;
+import java.util.HashSet;
+import java.util.Set;
 
 /**
  * One model turn at the partition owner: slot, stream, history, final event. It is used on the
@@ -37,8 +38,10 @@
   private static final int MAX_ATTEMPTS = 3;
   private static final long NO_TIMER = -1;
   private static final long RETRY_DELAY_MS = 50;
-  // A turn is answered as unlogged when the log has not confirmed it within this time.
+  // A turn is answered as unlogged when the log has not confirmed it by then.
   private static final long LOG_WAIT_MS = 1_000;
+  // Several handovers fit into the wait for the log, so that a lost message does not matter.
+  private static final long HANDOVER_MS = 100;
 
   private final ProgramServices services;
   private final PartitionHost host;
@@ -51,6 +54,7 @@
   private final String group;
   private final long arrivedMs;
   private final StringBuilder textBefore = new StringBuilder();
+  private final Set<EndpointId> failedEndpoints = new HashSet<>();
   private CallId call;
   private int attempt;
   private int attemptsMade;
@@ -124,7 +128,9 @@
   public void onTokens(Buffer events, int tokensSoFar) {
     long nowMs = services.nowMs();
     if (slot.isFirstToken() && attemptsMade == 1 && tokensBefore == 0) {
-      services.metrics().time("first_token_ms", plan.view().team(), priority(), nowMs - arrivedMs);
+      services
+          .metrics()
+          .time("first_token_ms", plan.view().team(), plan.view().priority(), nowMs - arrivedMs);
     }
     slot.tokens(tokensSoFar, nowMs);
     reply.tokens(events);
@@ -140,7 +146,7 @@
     release(CallEnding.COMPLETED, answer.cachedTokens());
     running = null;
     services.retries().succeeded(plan.view().team(), plan.pool().id(), services.nowMs());
-    EngineAnswer whole = withTextBefore(answer);
+    EngineAnswer whole = answer.after(textBefore.toString(), tokensBefore);
     int used = whole.promptTokens() + whole.answerTokens();
     settle(used);
     services.memory().noteCached(plan.view().id(), slot.endpoint(), used);
@@ -150,6 +156,7 @@
   @Override
   public void onFailure(EngineFailure failure) {
     services.metrics().count("engine_failures", "kind", failure.kind().name());
+    failedEndpoints.add(slot.endpoint());
     engineUsed |= failure.kind() != EngineFailure.Kind.NOT_SENT;
     keepText();
     running = null;
@@ -190,6 +197,7 @@
             .priority(plan.view().priority())
             .times(arrivedMs, deadlineMs())
             .prompt(plan.promptTokens(), memory.cachedTokens(plan.view().id()))
+            .avoidedEndpoints(avoidedEndpoints())
             .attainedServiceUnits(memory.serviceUnits(plan.root()))
             .underWay(plan.number() > 0)
             .model(chat.model())
@@ -198,9 +206,14 @@
     services.slots().request(group, waiting, this);
   }
 
+  private Set<EndpointId> avoidedEndpoints() {
+    Set<EndpointId> avoided = new HashSet<>(failedEndpoints);
+    avoided.addAll(services.retries().crashedEndpoints(plan.fingerprint(), services.nowMs()));
+    return avoided;
+  }
+
   private long deadlineMs() {
-    long deadline = plan.view().deadlineAtMs();
-    return deadline == 0 ? Long.MAX_VALUE : deadline;
+    return plan.view().deadlineAtMs() == 0 ? Long.MAX_VALUE : plan.view().deadlineAtMs();
   }
 
   private void send(SlotGrant granted) {
@@ -219,7 +232,7 @@
     slot = new SlotUse(services.slots(), group, granted, services.nowMs());
     services
         .metrics()
-        .time("wait_ms", plan.view().team(), priority(), services.nowMs() - arrivedMs);
+        .time("wait_ms", plan.view().team(), plan.view().priority(), services.nowMs() - arrivedMs);
     running =
         services
             .engines()
@@ -244,21 +257,6 @@
     }
   }
 
-  private EngineAnswer withTextBefore(EngineAnswer answer) {
-    if (textBefore.length() == 0) {
-      return answer;
-    }
-    JsonObject message = answer.message().copy();
-    message.put("content", textBefore + message.getString("content", ""));
-    return new EngineAnswer(
-        answer.id(),
-        message,
-        answer.finishReason(),
-        answer.promptTokens(),
-        answer.answerTokens() + tokensBefore,
-        answer.cachedTokens());
-  }
-
   private void noteCrash() {
     services
         .retries()
@@ -298,20 +296,29 @@
             answer.answerTokens());
     HeldTurn completed = new HeldTurn(host.partition(), plan.view().id(), turn);
     Future<Applied> applied = host.appendTurn(completed);
-    long timer = services.vertx().setTimer(LOG_WAIT_MS, fired -> runFinish(answer, false));
+    long timer =
+        services
+            .vertx()
+            .setTimer(LOG_WAIT_MS, fired -> context.runOnContext(run -> finish(answer, false)));
+    long handover = services.vertx().setPeriodic(HANDOVER_MS, fired -> handOver());
     applied.onComplete(
         done -> {
           services.vertx().cancelTimer(timer);
+          services.vertx().cancelTimer(handover);
           if (done.succeeded() && done.result().accepted()) {
-            runFinish(answer, true);
+            context.runOnContext(run -> finish(answer, true));
           } else {
             context.runOnContext(run -> historyRefused());
           }
         });
   }
 
-  private void runFinish(EngineAnswer answer, boolean logged) {
-    context.runOnContext(run -> finish(answer, logged));
+  /** Gives the turn to the new owner of the partition, and looks for it in the log. */
+  private void handOver() {
+    if (!host.isOwner()) {
+      services.mirror().unlogged(host.partition(), plan.view().id());
+      host.catchUp().onFailure(failure -> services.metrics().count("handover_read_failures"));
+    }
   }
 
   private void finish(EngineAnswer answer, boolean logged) {
@@ -325,7 +332,7 @@
     }
     services
         .metrics()
-        .time("turn_ms", plan.view().team(), priority(), services.nowMs() - arrivedMs);
+        .time("turn_ms", plan.view().team(), plan.view().priority(), services.nowMs() - arrivedMs);
     reply.done(answer, plan.number(), logged, urgentDemoted);
   }
 
@@ -348,10 +355,10 @@
   }
 
   private void startDeadline() {
-    long leftMs = deadlineMs() - services.nowMs();
     if (deadlineMs() == Long.MAX_VALUE) {
       return;
     }
+    long leftMs = deadlineMs() - services.nowMs();
     deadlineTimer =
         services
             .vertx()
@@ -414,8 +421,4 @@
     services.vertx().cancelTimer(deadlineTimer);
     onEnd.run();
   }
-
-  private PriorityClass priority() {
-    return plan.view().priority();
-  }
 }
