--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Standalone.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Standalone.java
@@ -36,7 +36,7 @@
   public static final String OPERATOR_TOKEN = "standalone-operator";
 
   /** The model that the built-in engine serves. */
-  public static final String MODEL = "builtin";
+  public static final String MODEL = "desk-chat";
 
   private static final int PARTITIONS = 8;
   private static final long WEIGHT_INTERVAL_MS = 1_000;
@@ -147,7 +147,7 @@
           burst_calls: 20
         tool_rules:
           - service: orders
-            operations: [capture_payment, book_dispatch, show_stock]
+            operations: [capture_payment, book_dispatch, track_stock]
         """
             .formatted(Authenticator.hash(TEAM_TOKEN)));
     return branches;
