Ask partition owners for the programs that engines hold memory of

Cause: the group owner released only what it had been told had ended. The notice is sent once and without an answer, so a notice that was lost, or an owner that died before sending it, left engine memory held for good (G4). Change: EngineMemory drives core.cache.CacheReclaimer: it lists the engines of owned groups, asks partition owners about held programs that it was not told of, again after 10 s or when a VM is found dead, and repeats releases without an answer. Figures: scenario "G4 Memory is released though the notice of the end was lost": with the old code the memory is still held after 2,000 ms; with the new code it is released within them, and a live program's memory stays. Conclusion: the notice only makes the release faster.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
@@ -33,7 +33,10 @@
 import io.magnoliaroute.daemon.program.ProgramMemory;
 import io.magnoliaroute.daemon.program.ProgramService;
 import io.magnoliaroute.daemon.program.ProgramServices;
+import io.magnoliaroute.daemon.program.ProgramStatusClient;
 import io.magnoliaroute.daemon.program.RetryGuard;
+import io.magnoliaroute.daemon.request.CallerRequest;
+import io.magnoliaroute.daemon.request.ReplySink;
 import io.magnoliaroute.daemon.request.RequestHandler;
 import io.magnoliaroute.daemon.settings.SettingsBoard;
 import io.magnoliaroute.daemon.slot.DrainingEndpoints;
@@ -110,7 +113,10 @@
             settings,
             new EngineMemoryClient(vertx, timeouts),
             metrics,
-            pool -> peers.ownsGroup(LocalSlots.groupOf(pool)));
+            pool -> peers.ownsGroup(LocalSlots.groupOf(pool)),
+            new ProgramStatusClient(vertx, this::passOn, random),
+            clock);
+    peers.onPeerLost(engineMemory::ownerLost);
     ProgramServices services =
         new ProgramServices(
             vertx,
@@ -227,7 +233,7 @@
 
   /** Starts what runs without a request: owned state, snapshots, engine memory, the VM list. */
   private void startControllers() {
-    vertx.setPeriodic(EngineMemory.LISTING_MS, timer -> engineMemory.poll());
+    vertx.setPeriodic(EngineMemory.ROUND_MS, timer -> engineMemory.poll());
     PartitionTending tending =
         new PartitionTending(
             partitions, peers::shouldOwn, programs::own, LogRetention.RETENTION_MS, clock, metrics);
@@ -296,6 +302,10 @@
     }
   }
 
+  private void passOn(CallerRequest request, ReplySink sink) {
+    handler.handle(request, sink);
+  }
+
   private void ended(ProgramId program, ProgramId root) {
     memory.cachedEndpoints(program).forEach(each -> engineMemory.release(each, program));
     endedElsewhere(program, root);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/PeerNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/peer/PeerNode.java
@@ -60,6 +60,7 @@
   private final LongConsumer onIncarnation;
   private final Runnable onLeavingMarked;
   private Consumer<PeerMessage.CacheRelease> programEndedElsewhere = release -> {};
+  private Runnable peerLost = () -> {};
   private OwnerRouter router;
   private ServedRequests served;
   private volatile MembershipController membership;
@@ -313,6 +314,11 @@
     programEndedElsewhere = listener;
   }
 
+  /** Sets what runs when a peer was found dead. */
+  public void onPeerLost(Runnable listener) {
+    peerLost = listener;
+  }
+
   private void begin(int port, long incarnation) {
     MemberInfo self =
         new MemberInfo(
@@ -371,6 +377,7 @@
     }
     LOG.infof("%s is %s, was %s", changed.vm(), changed.to(), changed.from());
     if (changed.to() == MemberState.DEAD) {
+      peerLost.run();
       links.drop(changed.vm());
       served.closeFrontEnd(changed.vm());
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/slot/EngineMemory.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/slot/EngineMemory.java
@@ -1,5 +1,10 @@
 package io.magnoliaroute.daemon.slot;
 
+import io.magnoliaroute.core.cache.CacheListing;
+import io.magnoliaroute.core.cache.CacheReclaimer;
+import io.magnoliaroute.core.cache.CacheRelease;
+import io.magnoliaroute.core.cache.CacheSettings;
+import io.magnoliaroute.core.cache.ProgramStatus;
 import io.magnoliaroute.core.model.EndpointId;
 import io.magnoliaroute.core.model.ProgramId;
 import io.magnoliaroute.core.settings.EndpointSettings;
@@ -8,95 +13,180 @@
 import io.magnoliaroute.daemon.engine.EngineMemoryClient;
 import io.magnoliaroute.daemon.metrics.DaemonMetrics;
 import io.magnoliaroute.daemon.settings.SettingsBoard;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
- * Releases the engine memory of ended programs. It lists what engines hold, because their cache
- * events come late and with gaps, and releases the ended programs among it.
+ * Releases the engine memory of ended programs. It lists what the engines of owned groups hold,
+ * because their cache events come late and with gaps, and asks partition owners for the programs
+ * that it was not told of.
  */
 public final class EngineMemory {
 
-  /** Time between two listings of each engine; two fit into the 2 s that memory may stay held. */
-  public static final long LISTING_MS = 800;
+  /** The time between two rounds. */
+  public static final long ROUND_MS = 200;
 
-  private static final int MAX_ENDED = 50_000;
+  // Two listings fit into the 2 s for which the memory of an ended program may stay held. A notice
+  // of an end is remembered for a minute; after that the partition owner is asked.
+  private static final CacheSettings PERIODS = new CacheSettings(500, 800, 10_000, 60_000);
+
+  // Statuses come from owners that confirmed their claim, so that they need no order of epochs.
+  private static final long EPOCH = 0;
+  private static final long NO_SEQUENCE = 0;
 
   private final SettingsBoard settings;
   private final EngineMemoryClient engines;
   private final DaemonMetrics metrics;
   private final Predicate<PoolSettings> owns;
-  private final Map<ProgramId, Boolean> ended = new ConcurrentHashMap<>();
+  private final ProgramStatusSource statuses;
+  private final InstantSource clock;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final CacheReclaimer reclaimer = new CacheReclaimer(PERIODS);
+  private final Set<EndpointId> watched = new HashSet<>();
 
   /** Makes the controller; {@code owns} says whether this VM owns the group of a pool. */
   public EngineMemory(
       SettingsBoard settings,
       EngineMemoryClient engines,
       DaemonMetrics metrics,
-      Predicate<PoolSettings> owns) {
+      Predicate<PoolSettings> owns,
+      ProgramStatusSource statuses,
+      InstantSource clock) {
     this.settings = settings;
     this.engines = engines;
     this.metrics = metrics;
     this.owns = owns;
+    this.statuses = statuses;
+    this.clock = clock;
   }
 
   /** Notes that the program ended. */
   public void ended(ProgramId program) {
-    if (ended.size() >= MAX_ENDED) {
-      ended.clear();
-      metrics.count("ended_programs_forgotten");
-    }
-    ended.put(program, true);
+    noteStatus(program, ProgramStatus.ENDED);
+  }
+
+  /** Asks again for all live programs, because a VM that may have ended some of them is gone. */
+  public void ownerLost() {
+    locked(
+        held -> {
+          held.recheck(program -> true);
+          return null;
+        });
   }
 
-  /** Lists the engines of owned groups and releases what ended programs hold. */
+  /** Runs one round: listings, questions and releases that are due. */
   public void poll() {
-    if (ended.isEmpty()) {
-      return;
-    }
-    for (PoolSettings pool : settings.current().tree().pools().values()) {
-      if (pool.kind() == PoolKind.MODEL && owns.test(pool)) {
-        pool.endpoints().forEach(this::list);
-      }
-    }
+    long nowMs = clock.millis();
+    watchOwned();
+    List<EndpointId> listings = locked(held -> held.listingsDue(nowMs));
+    List<ProgramId> questions = locked(held -> held.statusQueriesDue(nowMs));
+    List<CacheRelease> releases = locked(held -> held.poll(nowMs));
+    locked(
+        held -> {
+          held.expire(nowMs);
+          return null;
+        });
+    listings.forEach(this::list);
+    questions.forEach(this::ask);
+    releases.forEach(due -> release(due.endpoint(), due.program()));
   }
 
   /** Releases the program at the endpoint at once, where it is known to be held there. */
   public void release(EndpointId endpoint, ProgramId program) {
     EndpointSettings known = settings.current().endpoints().get(endpoint);
-    if (known != null) {
-      release(known, program);
+    if (known == null) {
+      return;
     }
+    engines
+        .release(known, program)
+        .onFailure(failure -> metrics.count("cache_release_failures"))
+        .onSuccess(
+            released -> {
+              metrics.count("cache_releases");
+              locked(
+                  held -> {
+                    held.released(endpoint, program);
+                    return null;
+                  });
+            });
   }
 
-  private void list(EndpointSettings endpoint) {
+  private void watchOwned() {
+    Set<EndpointId> owned =
+        settings.current().tree().pools().values().stream()
+            .filter(pool -> pool.kind() == PoolKind.MODEL && owns.test(pool))
+            .flatMap(pool -> pool.endpoints().stream())
+            .map(EndpointSettings::id)
+            .collect(Collectors.toSet());
+    locked(
+        held -> {
+          owned.stream().filter(watched::add).forEach(held::addEndpoint);
+          watched.stream().filter(id -> !owned.contains(id)).forEach(held::removeEndpoint);
+          watched.retainAll(owned);
+          return null;
+        });
+  }
+
+  private void list(EndpointId endpoint) {
+    EndpointSettings known = settings.current().endpoints().get(endpoint);
+    if (known == null) {
+      return;
+    }
     engines
-        .listing(endpoint)
+        .listing(known)
         .onFailure(failure -> metrics.count("cache_listing_failures"))
         .onSuccess(
-            held -> {
-              for (String key : held.keySet()) {
-                ProgramId program = programOf(key);
-                if (program != null && ended.containsKey(program)) {
-                  release(endpoint, program);
-                }
-              }
+            listed -> {
+              Set<ProgramId> programs =
+                  listed.keySet().stream()
+                      .map(EngineMemory::programOf)
+                      .flatMap(Optional::stream)
+                      .collect(Collectors.toSet());
+              locked(
+                  held -> {
+                    held.onListing(new CacheListing(endpoint, NO_SEQUENCE, programs));
+                    return null;
+                  });
             });
   }
 
-  private void release(EndpointSettings endpoint, ProgramId program) {
-    engines
-        .release(endpoint, program)
-        .onSuccess(released -> metrics.count("cache_releases"))
-        .onFailure(failure -> metrics.count("cache_release_failures"));
+  private void ask(ProgramId program) {
+    statuses
+        .statusOf(program)
+        .onSuccess(status -> noteStatus(program, status))
+        .onFailure(failure -> metrics.count("program_status_failures"));
+  }
+
+  private void noteStatus(ProgramId program, ProgramStatus status) {
+    long nowMs = clock.millis();
+    locked(
+        held -> {
+          held.onStatus(program, status, EPOCH, nowMs);
+          return null;
+        });
+  }
+
+  private <R> R locked(Function<CacheReclaimer, R> function) {
+    lock.lock();
+    try {
+      return function.apply(reclaimer);
+    } finally {
+      lock.unlock();
+    }
   }
 
-  private static ProgramId programOf(String key) {
+  private static Optional<ProgramId> programOf(String key) {
     try {
-      return new ProgramId(key);
+      return Optional.of(new ProgramId(key));
     } catch (IllegalArgumentException e) {
-      return null;
+      return Optional.empty();
     }
   }
 }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/features/DaemonViews.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/features/DaemonViews.java
@@ -1,6 +1,9 @@
 package io.magnoliaroute.daemon.features;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import io.magnoliaroute.daemon.Daemon;
+import io.magnoliaroute.daemon.support.Caller;
 import io.magnoliaroute.daemon.support.TestWorld;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -20,6 +23,29 @@
             each -> "engine-0".equals(each.getString("endpoint")) && each.getBoolean("draining"));
   }
 
+  /** Calls an engine without a daemon, so that its cache holds the key. */
+  static void fillCache(Daemon daemon, String cacheKey) {
+    JsonArray endpoints =
+        TestWorld.operator(daemon).get("/admin/v1/endpoints").json().getJsonArray("endpoints");
+    JsonObject engine =
+        endpoints.stream()
+            .map(JsonObject.class::cast)
+            .filter(each -> "engine-0".equals(each.getString("endpoint")))
+            .findFirst()
+            .orElseThrow();
+    int port = Integer.parseInt(engine.getString("address").replaceFirst(".*:", ""));
+    JsonObject message = new JsonObject().put("role", "user").put("content", "left behind");
+    Caller.Reply reply =
+        new Caller(port, "")
+            .post(
+                "/v1/chat/completions",
+                new JsonObject()
+                    .put("model", TestWorld.MODEL)
+                    .put("prompt_cache_key", cacheKey)
+                    .put("messages", new JsonArray().add(message)));
+    assertEquals(200, reply.status(), reply.text());
+  }
+
   static long budgetAt(Daemon daemon) {
     JsonArray teams =
         TestWorld.operator(daemon).get("/admin/v1/teams").json().getJsonArray("teams");
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/features/GuaranteeSteps.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/features/GuaranteeSteps.java
@@ -51,6 +51,7 @@
   private long acceptedTimeoutMs;
   private long budgetTokens;
   private int arrivedBefore;
+  private String liveProgram;
 
   @After
   public void closeWorld() {
@@ -170,6 +171,18 @@
     assertEquals("done", ended.outcome(), ended.text());
   }
 
+  @When("an engine holds memory of a program that has ended without a notice")
+  public void engineHoldsMemoryOfAnEndedProgram() {
+    liveProgram = programs.set(0, "0123456789abcdef0123456789abcdef");
+    DaemonViews.fillCache(first, programs.get(0));
+    assertTrue(isHeld(programs.get(0)), "the engine holds nothing to release");
+  }
+
+  @Then("the memory of the live program is still held")
+  public void liveMemoryIsHeld() {
+    assertTrue(isHeld(liveProgram), "the memory of a live program was released");
+  }
+
   @When("{int} callers run a turn at the same time")
   public void runAtTheSameTime(int count) {
     for (int i = 0; i < count; i++) {
@@ -291,12 +304,7 @@
 
   @Then("no engine holds its memory within {int} ms")
   public void memoryReleased(int boundMs) {
-    Await.within(
-        boundMs,
-        "the memory is released",
-        () ->
-            !world.engine(0).heldCacheKeys().contains(programs.get(0))
-                && !world.engine(1).heldCacheKeys().contains(programs.get(0)));
+    Await.within(boundMs, "the memory is released", () -> !isHeld(programs.get(0)));
   }
 
   @Then("each caller has the whole answer to its own request")
@@ -415,6 +423,11 @@
     assertEquals(200, reply.status(), reply.text());
   }
 
+  private boolean isHeld(String program) {
+    return world.engine(0).heldCacheKeys().contains(program)
+        || world.engine(1).heldCacheKeys().contains(program);
+  }
+
   private long spentTokens() {
     return world.engine(0).spentTokens() + world.engine(1).spentTokens();
   }
--- a/magnoliaroute-daemon/src/test/resources/features/guarantees.feature
+++ b/magnoliaroute-daemon/src/test/resources/features/guarantees.feature
@@ -30,6 +30,13 @@
     When the program ends at the second daemon
     Then no engine holds its memory within 2000 ms
 
+  Scenario: G4 Memory is released though the notice of the end was lost
+    Given two daemons before two engines
+    And a program with a turn, begun at the first daemon
+    When an engine holds memory of a program that has ended without a notice
+    Then no engine holds its memory within 2000 ms
+    And the memory of the live program is still held
+
   Scenario: G5 Each caller gets the whole answer to its own request
     Given two daemons before two engines
     And the first engine loses 4 answers
