End programs that no caller uses any more

Change: core.program.IdlePrograms finds programs without a change or a running call for the team's idle time; the partition owner ends them as LAPSED, which a newer turn refuses, and the engine memory is released as after any end. The log client answers a call after its close as refused instead of throwing. Conclusion: every program ends: by its caller, by a limit, or by lapse.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/Daemon.java
@@ -236,7 +236,13 @@
     vertx.setPeriodic(EngineMemory.ROUND_MS, timer -> engineMemory.poll());
     PartitionTending tending =
         new PartitionTending(
-            partitions, peers::shouldOwn, programs::own, LogRetention.RETENTION_MS, clock, metrics);
+            partitions,
+            peers::shouldOwn,
+            programs::own,
+            programs::lapseIdle,
+            LogRetention.RETENTION_MS,
+            clock,
+            metrics);
     ConfigCarryForward carryForward =
         new ConfigCarryForward(
             new CarryForwardSchedule(process.vm(), LogRetention.RETENTION_MS), writer.toString());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/HttpLogClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/HttpLogClient.java
@@ -89,13 +89,21 @@
             .setHost(address.host())
             .setPort(address.port())
             .setURI(uri);
-    client
-        .request(target)
+    open(target)
         .onFailure(failure -> promise.tryFail(unavailable(failure)))
         .onSuccess(request -> sendOn(request, body, promise, opened));
     return promise.future().onComplete(done -> vertx.cancelTimer(timer));
   }
 
+  /** A client that was closed by a planned stop refuses with an exception. */
+  private Future<HttpClientRequest> open(RequestOptions target) {
+    try {
+      return client.request(target);
+    } catch (IllegalStateException e) {
+      return Future.failedFuture(e);
+    }
+  }
+
   private static void sendOn(
       HttpClientRequest request,
       Buffer body,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionTending.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/PartitionTending.java
@@ -23,6 +23,7 @@
   private final Partitions partitions;
   private final IntPredicate shouldOwn;
   private final Consumer<PartitionHost> take;
+  private final Consumer<PartitionHost> lapse;
   private final InstantSource clock;
   private final DaemonMetrics metrics;
   private final List<SnapshotPlanner> planners = new ArrayList<>();
@@ -32,18 +33,21 @@
    *
    * @param shouldOwn whether the membership names this VM as the owner
    * @param take takes a partition by a claim
+   * @param lapse ends the idle programs of an owned partition
    * @param retentionMs the time for which the log keeps records
    */
   public PartitionTending(
       Partitions partitions,
       IntPredicate shouldOwn,
       Consumer<PartitionHost> take,
+      Consumer<PartitionHost> lapse,
       long retentionMs,
       InstantSource clock,
       DaemonMetrics metrics) {
     this.partitions = partitions;
     this.shouldOwn = shouldOwn;
     this.take = take;
+    this.lapse = lapse;
     this.clock = clock;
     this.metrics = metrics;
     for (int i = 0; i < partitions.count(); i++) {
@@ -60,6 +64,7 @@
       PartitionHost host = partitions.host(partition);
       if (host.isOwner()) {
         snapshot(host);
+        lapse.accept(host);
         // Renews the lease ahead of its end, so that requests do not wait for a read.
         host.catchUp().onFailure(failure -> metrics.count("lease_renewal_failures"));
       } else {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ProgramService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/ProgramService.java
@@ -4,11 +4,13 @@
 import io.magnoliaroute.core.model.Outcome;
 import io.magnoliaroute.core.model.ProgramId;
 import io.magnoliaroute.core.program.EndReason;
+import io.magnoliaroute.core.program.IdlePrograms;
 import io.magnoliaroute.core.program.ProgramRecord;
 import io.magnoliaroute.core.program.ProgramView;
 import io.magnoliaroute.core.program.Refusal;
 import io.magnoliaroute.core.program.Turn;
 import io.magnoliaroute.core.program.Verdict;
+import io.magnoliaroute.core.settings.TeamSettings;
 import io.magnoliaroute.daemon.engine.ChatRequest;
 import io.magnoliaroute.daemon.request.CallerRequest;
 import io.magnoliaroute.daemon.request.Problem;
@@ -43,6 +45,7 @@
   private final ProgramEndings endings;
   private final Consumer<PartitionHost> onTaken;
   private final Map<ProgramId, TurnRun> running = new ConcurrentHashMap<>();
+  private final Map<Integer, IdlePrograms> idle = new ConcurrentHashMap<>();
   private final Set<Integer> recovered = ConcurrentHashMap.newKeySet();
 
   /**
@@ -227,6 +230,42 @@
         });
   }
 
+  /** Ends the programs of an owned partition that no caller has used for the team's idle time. */
+  public void lapseIdle(PartitionHost host) {
+    List<ProgramView> live =
+        host.read(
+            held ->
+                held.state().livePrograms().stream()
+                    .map(id -> held.state().program(id))
+                    .flatMap(Optional::stream)
+                    .toList());
+    idle.computeIfAbsent(host.partition(), partition -> new IdlePrograms())
+        .idle(live, running::containsKey, this::idleTimeoutMs, services.nowMs())
+        .forEach(view -> lapse(host, view));
+  }
+
+  private long idleTimeoutMs(ProgramView view) {
+    TeamSettings team = services.settings().current().tree().teams().get(view.team());
+    return team == null ? 0 : team.limits().idleTimeoutMs();
+  }
+
+  private void lapse(PartitionHost host, ProgramView view) {
+    ProgramId root = host.read(held -> ProgramLookup.root(held, view));
+    host.submit(
+            (id, epoch) ->
+                new ProgramRecord.ProgramEnded(
+                    id, epoch, view.id(), EndReason.LAPSED, view.nextTurn()))
+        .applied()
+        .onSuccess(
+            applied -> {
+              if (applied.accepted()) {
+                services.metrics().count("programs_lapsed");
+                endings.ended(view.id(), root);
+                services.memory().forget(view.id());
+              }
+            });
+  }
+
   private void show(PartitionHost host, CallerRequest request, ReplySink sink)
       throws ProblemException {
     ProgramView view = requireView(host, request);
