--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/CapacityCommand.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/CapacityCommand.java
@@ -6,7 +6,9 @@
 import io.magnoliaroute.bench.capacity.LogSlopes;
 import io.magnoliaroute.bench.capacity.MembershipSlopes;
 import io.magnoliaroute.bench.capacity.MetricsSlopes;
+import io.magnoliaroute.bench.capacity.WireSlopes;
 import io.magnoliaroute.core.log.MalformedRecordException;
+import io.magnoliaroute.wire.WireException;
 import java.util.concurrent.Callable;
 
 /** Prints the slopes that docs/CAPACITY.md works with. */
@@ -19,11 +21,11 @@
   @Option(
       name = "--only",
       title = "role",
-      description = "one of membership, log, config, metrics; default: all of them")
+      description = "one of membership, log, config, metrics, wire; default: all of them")
   private String only = "all";
 
   @Override
-  public Integer call() throws MalformedRecordException {
+  public Integer call() throws MalformedRecordException, WireException {
     boolean all = only.equals("all");
     boolean known = all;
     if (all || only.equals("membership")) {
@@ -42,6 +44,10 @@
       MetricsSlopes.run(System.out);
       known = true;
     }
+    if (all || only.equals("wire")) {
+      WireSlopes.run(System.out);
+      known = true;
+    }
     if (!known) {
       System.err.println("unknown role: '" + only + "'");
       return EXIT_USAGE;
