Move the budget of a turn out of the turn run

Change: TurnBudget reserves, charges and refunds the attempts of one turn. No behaviour changes. Conclusion: the rule that each attempt is charged once stands in one place.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/program/TurnRun.java
@@ -1,7 +1,6 @@
 package io.magnoliaroute.daemon.program;
 
 import io.magnoliaroute.core.budget.Reservation;
-import io.magnoliaroute.core.model.Bytes;
 import io.magnoliaroute.core.model.CallId;
 import io.magnoliaroute.core.model.EndpointId;
 import io.magnoliaroute.core.program.HeldTurn;
@@ -55,12 +54,12 @@
   private final String group;
   private final long arrivedMs;
   private final StringBuilder textBefore = new StringBuilder();
+  private final TurnBudget budget;
   private final Set<EndpointId> failedEndpoints = new HashSet<>();
   private CallId call;
   private int attempt;
   private int attemptsMade;
   private boolean engineUsed;
-  private Reservation reservation;
   private SlotUse slot;
   private EngineCall running;
   private int tokensBefore;
@@ -85,6 +84,9 @@
     this.context = sink.context();
     this.group = LocalSlots.groupOf(plan.pool());
     this.arrivedMs = services.nowMs();
+    this.budget =
+        new TurnBudget(
+            services.budgets(), plan.view().team(), plan.maxPromptTokens(), chat.maxTokens());
     this.attempt = services.random().nextInt(1 << 20);
   }
 
@@ -143,7 +145,7 @@
     release(CallEnding.COMPLETED, answer.cachedTokens());
     running = null;
     services.retries().succeeded(plan.view().team(), plan.pool().id(), services.nowMs());
-    settle((long) answer.promptTokens() + answer.answerTokens());
+    budget.settle((long) answer.promptTokens() + answer.answerTokens());
     EngineAnswer whole = answer.after(textBefore.toString(), tokensBefore);
     int cached = whole.promptTokens() + whole.answerTokens();
     services.memory().noteCached(plan.view().id(), slot.endpoint(), cached);
@@ -158,7 +160,11 @@
     engineUsed |= sent;
     keepText();
     running = null;
-    settle(sent ? attemptUnits() : 0);
+    if (sent) {
+      budget.chargeWhole();
+    } else {
+      budget.refund();
+    }
     release(CallEnding.FAILED, 0);
     if (failure.kind() == EngineFailure.Kind.BROKEN) {
       noteCrash();
@@ -166,20 +172,12 @@
     retryOrFail(failure);
   }
 
-  /** Sets aside the most that the next attempt may cost; each attempt is charged on its own. */
   private void reserveAttempt() {
-    if (ended) {
-      return;
+    if (!ended) {
+      budget
+          .reserve(textBefore.toString())
+          .onComplete(done -> context.runOnContext(run -> reserved(done)));
     }
-    services
-        .budgets()
-        .reserve(plan.view().team(), plan.maxPromptTokens() + resumedBytes() + chat.maxTokens())
-        .onComplete(done -> context.runOnContext(run -> reserved(done)));
-  }
-
-  /** An engine that continues a cut stream reads the text before it as part of the prompt. */
-  private long resumedBytes() {
-    return Bytes.ofUtf8(textBefore.toString()).sizeBytes();
   }
 
   private void reserved(AsyncResult<Reservation> done) {
@@ -192,10 +190,10 @@
       return;
     }
     if (ended) {
-      services.budgets().settle(done.result(), 0);
+      budget.refund(done.result());
       return;
     }
-    reservation = done.result();
+    budget.begin(done.result());
     if (deadlineTimer == NO_TIMER) {
       startDeadline();
     }
@@ -242,7 +240,7 @@
           .slots()
           .release(group, granted.call(), CallResult.withoutTokens(granted.grantId(), ending));
       if (!ended && granted.call().equals(call)) {
-        settle(0);
+        budget.refund();
         retryOrFail(new EngineFailure(EngineFailure.Kind.NOT_SENT, "the endpoint was removed"));
       }
       return;
@@ -262,9 +260,8 @@
     if (!isRunning(grantId)) {
       return;
     }
-    services
-        .budgets()
-        .reserve(plan.view().team(), attemptUnits() + chat.maxTokens())
+    budget
+        .reserveResumption()
         .onComplete(done -> context.runOnContext(run -> preemptReserved(grantId, done)));
   }
 
@@ -275,15 +272,15 @@
       return;
     }
     if (!isRunning(grantId)) {
-      services.budgets().settle(done.result(), 0);
+      budget.refund(done.result());
       return;
     }
     services.metrics().count("preemptions");
     keepText();
     running.cancel();
     running = null;
-    settle(attemptUnits());
-    reservation = done.result();
+    budget.chargeWhole();
+    budget.begin(done.result());
     release(CallEnding.PREEMPTED, 0);
   }
 
@@ -428,7 +425,7 @@
       keepText();
       running.cancel();
       running = null;
-      settle(attemptUnits());
+      budget.chargeWhole();
       release(CallEnding.CANCELLED, 0);
     } else if (call != null) {
       services.slots().cancel(group, call);
@@ -445,24 +442,12 @@
           held.history().release(plan.view().id());
           return null;
         });
-    settle(0);
+    budget.refund();
     end();
     services.metrics().count("turns_failed", "code", problem.code().code());
     reply.problem(problem);
   }
 
-  /** What an attempt is charged whose cost is not known, because its stream was cut. */
-  private long attemptUnits() {
-    return reservation == null ? 0 : reservation.units();
-  }
-
-  private void settle(long units) {
-    if (reservation != null) {
-      services.budgets().settle(reservation, units);
-      reservation = null;
-    }
-  }
-
   private void end() {
     ended = true;
     services.vertx().cancelTimer(deadlineTimer);
