--- a/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/CapacityCommand.java
+++ b/magnoliaroute-bench/src/main/java/io/magnoliaroute/bench/CapacityCommand.java
@@ -2,11 +2,13 @@
 
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
+import io.magnoliaroute.bench.capacity.BudgetSlopes;
 import io.magnoliaroute.bench.capacity.ConfigSlopes;
 import io.magnoliaroute.bench.capacity.LogSlopes;
 import io.magnoliaroute.bench.capacity.MembershipSlopes;
 import io.magnoliaroute.bench.capacity.MetricsSlopes;
 import io.magnoliaroute.bench.capacity.WireSlopes;
+import io.magnoliaroute.core.budget.BudgetFormatException;
 import io.magnoliaroute.core.log.MalformedRecordException;
 import io.magnoliaroute.wire.WireException;
 import java.util.concurrent.Callable;
@@ -21,11 +23,11 @@
   @Option(
       name = "--only",
       title = "role",
-      description = "one of membership, log, config, metrics, wire; default: all of them")
+      description = "one of membership, log, config, budget, metrics, wire; default: all of them")
   private String only = "all";
 
   @Override
-  public Integer call() throws MalformedRecordException, WireException {
+  public Integer call() throws MalformedRecordException, WireException, BudgetFormatException {
     boolean all = only.equals("all");
     boolean known = all;
     if (all || only.equals("membership")) {
@@ -40,6 +42,10 @@
       new ConfigSlopes().run(System.out);
       known = true;
     }
+    if (all || only.equals("budget")) {
+      BudgetSlopes.run(System.out);
+      known = true;
+    }
     if (all || only.equals("metrics")) {
       MetricsSlopes.run(System.out);
       known = true;
