Serve clients on the platform through a thin gateway

Cause: the product spoke only its own interface; nothing met the platform's store, clients and endpoints. Change: the module platform/ decodes the platform's names once; core.gateway places requests and decides what may be sent again; daemon.gateway forwards requests and streams, follows the store and stops gracefully. deploy/system.toml runs it on every VM. Excluded: token budgets, peers, and settings during an outage of the store; they follow.

--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointDirectory.java
@@ -0,0 +1,143 @@
+package io.magnoliaroute.core.gateway;
+
+import io.magnoliaroute.core.model.EndpointId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Which endpoints this VM believes to be there.
+ *
+ * <p>Older entries never replace newer ones. An entry that expired while the store was away stays
+ * usable for a while after the store's return, because a living endpoint needs that long to write
+ * itself in again. Used on one event loop.
+ */
+public final class EndpointDirectory {
+
+  private final long returnGraceMs;
+  private final Map<EndpointId, Known> known = new HashMap<>();
+  private long revision;
+
+  private static final class Known {
+    private EndpointEntry entry;
+    private boolean removed;
+    private long usableUntilMs = Long.MAX_VALUE;
+  }
+
+  /**
+   * Makes an empty directory.
+   *
+   * @param returnGraceMs how long expired entries stay usable after an outage of the store
+   */
+  public EndpointDirectory(long returnGraceMs) {
+    this.returnGraceMs = returnGraceMs;
+  }
+
+  /** Returns a number that changes with each change of what may be used. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Takes an entry; returns whether it changed what this VM believes. */
+  public boolean apply(EndpointEntry entry) {
+    Known held = known.computeIfAbsent(entry.id(), id -> new Known());
+    if (held.entry != null && !entry.isNewerThan(held.entry)) {
+      return false;
+    }
+    boolean changed =
+        held.entry == null
+            || held.removed
+            || held.usableUntilMs != Long.MAX_VALUE
+            || differs(held.entry, entry);
+    held.entry = entry;
+    held.removed = false;
+    held.usableUntilMs = Long.MAX_VALUE;
+    revision += changed ? 1 : 0;
+    return changed;
+  }
+
+  /**
+   * Takes the removal of an entry; returns whether it changed what this VM believes.
+   *
+   * @param afterOutage whether the entry may have expired only because the store was away
+   */
+  public boolean remove(EndpointId id, boolean afterOutage, long nowMs) {
+    Known held = known.get(id);
+    if (held == null || held.removed) {
+      return false;
+    }
+    held.removed = true;
+    held.usableUntilMs =
+        afterOutage && !held.entry.draining() ? nowMs + returnGraceMs : Long.MIN_VALUE;
+    revision++;
+    return true;
+  }
+
+  /** Takes a whole listing: entries that are not in it have been removed. */
+  public void applyListing(Collection<EndpointEntry> listing, boolean afterOutage, long nowMs) {
+    Set<EndpointId> listed = new HashSet<>();
+    for (EndpointEntry entry : listing) {
+      listed.add(entry.id());
+      apply(entry);
+    }
+    for (EndpointId id : List.copyOf(known.keySet())) {
+      if (!listed.contains(id)) {
+        remove(id, afterOutage, nowMs);
+      }
+    }
+  }
+
+  /** Returns the endpoints of a service that may get new requests. */
+  public List<EndpointEntry> usable(String service, long nowMs) {
+    List<EndpointEntry> result = new ArrayList<>();
+    for (Known held : known.values()) {
+      if (held.entry.service().equals(service) && isUsable(held, nowMs)) {
+        result.add(held.entry);
+      }
+    }
+    return result;
+  }
+
+  /** Returns whether this start of the endpoint may get new requests. */
+  public boolean isUsable(EndpointEntry entry, long nowMs) {
+    Known held = known.get(entry.id());
+    return held != null && held.entry.isSameStart(entry) && isUsable(held, nowMs);
+  }
+
+  /** Returns the newest entry of an endpoint that has not been removed. */
+  public Optional<EndpointEntry> find(EndpointId id) {
+    Known held = known.get(id);
+    return held == null || held.removed ? Optional.empty() : Optional.of(held.entry);
+  }
+
+  /** Returns all entries that have not been removed. */
+  public List<EndpointEntry> entries() {
+    List<EndpointEntry> result = new ArrayList<>();
+    for (Known held : known.values()) {
+      if (!held.removed) {
+        result.add(held.entry);
+      }
+    }
+    return result;
+  }
+
+  private static boolean isUsable(Known held, long nowMs) {
+    if (held.entry.draining()) {
+      return false;
+    }
+    return !held.removed || nowMs < held.usableUntilMs;
+  }
+
+  private static boolean differs(EndpointEntry before, EndpointEntry after) {
+    return before.startedAtMs() != after.startedAtMs()
+        || before.draining() != after.draining()
+        || before.slots() != after.slots()
+        || !before.service().equals(after.service())
+        || !before.address().equals(after.address());
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointLoads.java
@@ -0,0 +1,126 @@
+package io.magnoliaroute.core.gateway;
+
+import io.magnoliaroute.core.model.EndpointId;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What this VM has seen of the endpoints' load and health: its own open requests, the load that
+ * answers report, and failed connections. Used on one event loop.
+ */
+public final class EndpointLoads {
+
+  /** A report of other VMs' requests is believed less and less until it is this old. */
+  static final long REPORT_LIFE_MS = 1_000;
+
+  /** The first time for which an endpoint that refused a connection is avoided. */
+  static final long FIRST_AVOID_MS = 250;
+
+  /** The longest time for which an endpoint is avoided without another try. */
+  static final long MAX_AVOID_MS = 2_000;
+
+  private static final double NORMAL_PACE = 1.0;
+  private static final int MAX_DOUBLINGS = 3;
+
+  private final Map<EndpointId, Load> loads = new HashMap<>();
+
+  private static final class Load {
+    private int open;
+    private int othersAtReport;
+    private double pace = NORMAL_PACE;
+    private long reportedAtMs = Long.MIN_VALUE / 2;
+    private int failures;
+    private long avoidUntilMs = Long.MIN_VALUE;
+    private long fullUntilMs = Long.MIN_VALUE;
+  }
+
+  /**
+   * A load report of an endpoint.
+   *
+   * @param running requests that it runs
+   * @param waiting requests that wait there
+   * @param slots requests that it can run at once
+   * @param pace how long work takes there at this moment, as a multiple of the usual time
+   */
+  public record Report(int running, int waiting, int slots, double pace) {}
+
+  /** Notes that a request goes to the endpoint. */
+  public void opened(EndpointId endpoint) {
+    load(endpoint).open++;
+  }
+
+  /** Notes that a request at the endpoint has ended. */
+  public void closed(EndpointId endpoint) {
+    Load load = load(endpoint);
+    load.open = Math.max(0, load.open - 1);
+  }
+
+  /** Takes a load report. */
+  public void reported(EndpointId endpoint, Report report, long nowMs) {
+    Load load = load(endpoint);
+    load.othersAtReport = Math.max(0, report.running() + report.waiting() - load.open);
+    load.pace = Math.max(0.1, report.pace());
+    load.reportedAtMs = nowMs;
+  }
+
+  /** Notes an answer: the endpoint lives. */
+  public void answered(EndpointId endpoint) {
+    Load load = load(endpoint);
+    load.failures = 0;
+    load.avoidUntilMs = Long.MIN_VALUE;
+  }
+
+  /** Notes that the endpoint accepts no connection; it is avoided for a growing time. */
+  public void unreachable(EndpointId endpoint, long nowMs) {
+    Load load = load(endpoint);
+    long avoidMs = FIRST_AVOID_MS << Math.min(load.failures, MAX_DOUBLINGS);
+    load.failures++;
+    load.avoidUntilMs = nowMs + Math.min(MAX_AVOID_MS, avoidMs);
+  }
+
+  /** Notes that the endpoint refused a request because it is full. */
+  public void full(EndpointId endpoint, long untilMs) {
+    load(endpoint).fullUntilMs = untilMs;
+  }
+
+  /** Returns whether the endpoint should get no request now. */
+  public boolean isAvoided(EndpointId endpoint, long nowMs) {
+    return nowMs < load(endpoint).avoidUntilMs;
+  }
+
+  /** Returns whether the endpoint refused a request lately because it is full. */
+  public boolean isFull(EndpointId endpoint, long nowMs) {
+    return nowMs < load(endpoint).fullUntilMs;
+  }
+
+  /** Returns this VM's own open requests at the endpoint. */
+  public int open(EndpointId endpoint) {
+    return load(endpoint).open;
+  }
+
+  /** Returns the requests that probably run or wait at the endpoint, from all VMs. */
+  public double busy(EndpointId endpoint, long nowMs) {
+    Load load = load(endpoint);
+    return load.open + load.othersAtReport * belief(load, nowMs);
+  }
+
+  /** Returns how long work probably takes at the endpoint, as a multiple of the usual time. */
+  public double pace(EndpointId endpoint, long nowMs) {
+    Load load = load(endpoint);
+    return NORMAL_PACE + (load.pace - NORMAL_PACE) * belief(load, nowMs);
+  }
+
+  /** Forgets an endpoint. */
+  public void forget(EndpointId endpoint) {
+    loads.remove(endpoint);
+  }
+
+  private static double belief(Load load, long nowMs) {
+    long ageMs = nowMs - load.reportedAtMs;
+    return Math.max(0.0, 1.0 - (double) ageMs / REPORT_LIFE_MS);
+  }
+
+  private Load load(EndpointId endpoint) {
+    return loads.computeIfAbsent(endpoint, id -> new Load());
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RoutingTable.java
@@ -0,0 +1,73 @@
+package io.magnoliaroute.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the configuration of routes, services and limits. */
+public final class RoutingTable {
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceSpec> services;
+  private final ClientLimits limits;
+
+  /** Makes the table of a version. */
+  public RoutingTable(
+      long version, List<Route> routes, Map<String, ServiceSpec> services, ClientLimits limits) {
+    this.version = version;
+    this.services = Map.copyOf(services);
+    this.limits = limits;
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+  }
+
+  /** Returns the version; a higher one is newer. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the limits for clients. */
+  public ClientLimits limits() {
+    return limits;
+  }
+
+  /** Returns a service by its name. */
+  public Optional<ServiceSpec> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the names of all services. */
+  public Iterable<String> serviceNames() {
+    return services.keySet();
+  }
+
+  /**
+   * Returns the route with the longest prefix that begins the path.
+   *
+   * @param host the host as the client sent it
+   * @param path the path without its query
+   */
+  public Optional<Route> match(String host, String path) {
+    for (Route route : routesByHost.getOrDefault(withoutPort(host), List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    String name = colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+    return name.toLowerCase(Locale.ROOT);
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonCommand.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonCommand.java
@@ -28,6 +28,12 @@
               + " settings are lost at the exit: standalone keeps nothing.")
   boolean standalone;
 
+  @Option(
+      name = "--platform",
+      description =
+          "Serve clients on the platform; the variable MAGNOLIAROUTE_SETTINGS names the settings")
+  boolean platform;
+
   @Option(
       name = "--http",
       title = "HOST:PORT",
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
@@ -6,6 +6,7 @@
 import io.magnoliaroute.core.settings.ParseResult;
 import io.magnoliaroute.core.settings.ProcessSettings;
 import io.magnoliaroute.core.settings.ProcessSettingsParser;
+import io.magnoliaroute.daemon.gateway.PlatformMain;
 import io.magnoliaroute.daemon.lifecycle.SteadyClock;
 import io.magnoliaroute.daemon.lifecycle.StopReport;
 import io.magnoliaroute.daemon.platform.HttpLogClient;
@@ -52,6 +53,15 @@
   }
 
   private static void run(DaemonCommand command) {
+    if (command.platform) {
+      if (command.standalone || command.settingsFile != null) {
+        usage("--platform goes with no other mode");
+        return;
+      }
+      System.setProperty("logback.configurationFile", "logback-platform.xml");
+      PlatformMain.run();
+      return;
+    }
     if (command.standalone == (command.settingsFile != null)) {
       usage("give either --settings FILE or --standalone");
       return;
@@ -158,7 +168,7 @@
 
   private static void usage(String problem) {
     System.err.println(problem);
-    System.err.println("usage: magnoliaroute-daemon --settings FILE | --standalone");
+    System.err.println("usage: magnoliaroute-daemon --settings FILE | --standalone | --platform");
     System.exit(EXIT_USAGE);
   }
 }
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/CrashGuard.java
@@ -0,0 +1,56 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.retry.Fingerprint;
+import io.magnoliaroute.core.retry.Quarantine;
+import io.magnoliaroute.core.retry.QuarantineSettings;
+import java.time.InstantSource;
+import java.util.function.BiConsumer;
+
+/** Refuses requests that have crashed endpoints, as seen by all VMs. Used on one event loop. */
+final class CrashGuard {
+
+  /** A request is tried on this many endpoints; single endpoints also crash by themselves. */
+  private static final int MAX_ENDPOINTS = 3;
+
+  private static final long SUSPICION_MS = 120_000;
+  private static final long QUARANTINE_MS = 600_000;
+  private static final int MAX_ENTRIES = 10_000;
+
+  private final Quarantine quarantine =
+      new Quarantine(
+          new QuarantineSettings(MAX_ENDPOINTS, SUSPICION_MS, QUARANTINE_MS, MAX_ENTRIES));
+  private final InstantSource clock;
+  private final DecisionLog log;
+  private BiConsumer<Fingerprint, EndpointId> announce = (fingerprint, endpoint) -> {};
+
+  CrashGuard(InstantSource clock, DecisionLog log) {
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Sets what tells the other VMs of a crash. */
+  void announceTo(BiConsumer<Fingerprint, EndpointId> newAnnounce) {
+    announce = newAnnounce;
+  }
+
+  boolean refuses(Fingerprint request) {
+    return quarantine.refused(request, clock.millis());
+  }
+
+  /** Notes a crash that this VM saw. */
+  void crashed(Fingerprint request, EndpointId endpoint) {
+    note(request, endpoint);
+    announce.accept(request, endpoint);
+  }
+
+  /** Notes a crash that this VM saw or was told of. */
+  void note(Fingerprint request, EndpointId endpoint) {
+    boolean refused = quarantine.crashed(request, endpoint, clock.millis()).isPresent();
+    log.line("endpoint_crashed_by_request")
+        .put("fingerprint", request.value().substring(0, 16))
+        .put("endpoint", endpoint.value())
+        .put("refused_from_now", refused)
+        .write();
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/DecisionLog.java
@@ -0,0 +1,123 @@
+package io.magnoliaroute.daemon.gateway;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import org.jboss.logging.Logger;
+
+/**
+ * Writes one JSON object a line for each decision. The volume of each kind of line is bounded; what
+ * was left out is counted and written with the next line of the kind. The logging library's queue
+ * drops lines rather than block. Used on one event loop.
+ */
+final class DecisionLog {
+
+  private static final Logger LOG = Logger.getLogger("decisions");
+  private static final JsonFactory JSON = new JsonFactory();
+
+  /** Lines of one kind in a second; several times the requests that a VM serves today. */
+  static final int LINES_PER_S = 100;
+
+  private static final long WINDOW_MS = 1_000;
+
+  private final InstantSource clock;
+  private final Map<String, Window> windows = new HashMap<>();
+
+  private static final class Window {
+    private long startMs;
+    private int written;
+    private int leftOut;
+  }
+
+  DecisionLog(InstantSource clock) {
+    this.clock = clock;
+  }
+
+  /** Starts a line about an event. */
+  Line line(String event) {
+    Window window = windows.computeIfAbsent(event, name -> new Window());
+    long nowMs = clock.millis();
+    if (nowMs - window.startMs >= WINDOW_MS) {
+      window.startMs = nowMs;
+      window.written = 0;
+    }
+    if (window.written >= LINES_PER_S) {
+      window.leftOut++;
+      return new Line(null, null);
+    }
+    window.written++;
+    Line line = Line.begin(nowMs, event);
+    if (window.leftOut > 0) {
+      line.put("left_out_before", window.leftOut);
+      window.leftOut = 0;
+    }
+    return line;
+  }
+
+  /** One line under construction; a line that is left out takes no values. */
+  static final class Line {
+
+    private final StringWriter text;
+    private final JsonGenerator json;
+
+    private Line(StringWriter text, JsonGenerator json) {
+      this.text = text;
+      this.json = json;
+    }
+
+    private static Line begin(long nowMs, String event) {
+      StringWriter text = new StringWriter();
+      try {
+        JsonGenerator json = JSON.createGenerator(text);
+        json.writeStartObject();
+        json.writeNumberField("at_ms", nowMs);
+        json.writeStringField("event", event);
+        return new Line(text, json);
+      } catch (IOException e) {
+        throw new UncheckedIOException("writing into memory failed", e);
+      }
+    }
+
+    Line put(String name, String value) {
+      return with(() -> json.writeStringField(name, value));
+    }
+
+    Line put(String name, long value) {
+      return with(() -> json.writeNumberField(name, value));
+    }
+
+    Line put(String name, boolean value) {
+      return with(() -> json.writeBooleanField(name, value));
+    }
+
+    void write() {
+      with(
+          () -> {
+            json.writeEndObject();
+            json.close();
+            LOG.info(text.toString());
+          });
+    }
+
+    private interface Step {
+      void run() throws IOException;
+    }
+
+    private Line with(Step step) {
+      if (json == null) {
+        return this;
+      }
+      try {
+        step.run();
+        return this;
+      } catch (IOException e) {
+        throw new UncheckedIOException("writing into memory failed", e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
@@ -0,0 +1,41 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+
+/** Names of the gateway's counters and histograms. */
+final class GatewayMetrics {
+
+  private final DaemonMetrics metrics = new DaemonMetrics();
+
+  void answered(int status) {
+    metrics.count("requests_answered", "status", String.valueOf(status));
+  }
+
+  void refused(String reason) {
+    metrics.count("requests_refused", "reason", reason);
+  }
+
+  void sendFailed(String result) {
+    metrics.count("sends_failed", "result", result);
+  }
+
+  void storeCall(String kind, String outcome) {
+    metrics.count("store_calls", "kind_outcome", kind + "/" + outcome);
+  }
+
+  void count(String name) {
+    metrics.count(name);
+  }
+
+  void took(String route, long elapsedMs) {
+    metrics.timeOf("request_ms", "route", route, elapsedMs);
+  }
+
+  DaemonMetrics registry() {
+    return metrics;
+  }
+
+  String text() {
+    return metrics.text();
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -0,0 +1,166 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.gateway.EndpointLoads;
+import io.magnoliaroute.core.gateway.EndpointPicker;
+import io.magnoliaroute.core.gateway.PrefixMemory;
+import io.magnoliaroute.core.gateway.ServiceSpec;
+import io.magnoliaroute.core.gateway.ServiceTimes;
+import io.magnoliaroute.platform.BootSettings;
+import io.magnoliaroute.platform.StoreClient;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.time.InstantSource;
+import java.util.random.RandomGenerator;
+
+/** One VM that serves clients on the platform. */
+public final class GatewayNode {
+
+  /** Parts of prompts whose place is kept; some times those in use today. */
+  private static final int PREFIX_PARTS = 4_096;
+
+  /** The configuration changes seldom and has to be in force at once: the store holds the read. */
+  private static final StoreTail.Pace CONFIG_PACE = new StoreTail.Pace(2_500, 0);
+
+  /** Endpoints write all the time; a drain has to be seen within two seconds. */
+  private static final StoreTail.Pace ENDPOINT_PACE = new StoreTail.Pace(1_000, 600);
+
+  /** The platform asks once a second and gives a VM up after two misses. */
+  private static final long ROTATION_MS = 2_300;
+
+  private static final long HOUSEKEEPING_MS = 500;
+  private static final long STOP_CHECK_MS = 50;
+  private static final long STOP_MARGIN_MS = 700;
+
+  private final BootSettings settings;
+  private final InstantSource clock;
+  private final Vertx vertx;
+  private final DecisionLog log;
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final Beliefs beliefs = new Beliefs();
+  private final StoreHealth storeHealth;
+  private final StoreClient store;
+  private final BeliefFollower follower;
+  private final RandomGenerator random;
+  private final Gateway gateway;
+  private final FrontServer front;
+  private boolean stopping;
+  private boolean announcedReady;
+
+  /** Joins the parts of a VM; nothing listens yet. */
+  public GatewayNode(
+      Vertx vertx, BootSettings settings, InstantSource clock, RandomGenerator random) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.clock = clock;
+    this.random = random;
+    this.log = new DecisionLog(clock);
+    this.storeHealth = new StoreHealth(clock, log);
+    this.store = new StoreClient(vertx, settings.store(), metrics::storeCall);
+    this.follower = new BeliefFollower(beliefs, storeHealth, clock, log);
+    EndpointLoads loads = new EndpointLoads();
+    PrefixMemory prefixes = new PrefixMemory(PREFIX_PARTS);
+    ServiceTimes times = new ServiceTimes();
+    EndpointPicker picker =
+        new EndpointPicker(beliefs.endpoints(), loads, prefixes, times, settings.dataCentre());
+    Watchdog watchdog = new Watchdog(clock, loads, log);
+    EndpointConnections connections =
+        new EndpointConnections(vertx, clock, accepted -> Math.max(4, accepted / 24));
+    watchdog.probeWith(
+        endpoint ->
+            connections.probe(
+                endpoint,
+                beliefs
+                    .table()
+                    .flatMap(table -> table.service(endpoint.service()))
+                    .map(ServiceSpec::maxConnections)
+                    .orElse(1)));
+    this.gateway =
+        new Gateway(
+            vertx,
+            clock,
+            random,
+            beliefs,
+            loads,
+            prefixes,
+            times,
+            picker,
+            connections,
+            watchdog,
+            new UnlimitedBudgets(),
+            new CrashGuard(clock, log),
+            log,
+            metrics);
+    this.front = new FrontServer(gateway);
+  }
+
+  /** Starts following the store and listening. */
+  public Future<Void> start() {
+    log.line("start")
+        .put("vm", settings.vm().value())
+        .put("data_centre", settings.dataCentre())
+        .put("first_start", settings.firstStart())
+        .write();
+    tail(StoreClient.OPERATOR_TOPIC, CONFIG_PACE, follower.configuration());
+    tail(StoreClient.ENDPOINT_TOPIC, ENDPOINT_PACE, follower.endpoints());
+    vertx.setPeriodic(Watchdog.CHECK_MS, timer -> gateway.watchdog().check());
+    vertx.setPeriodic(
+        HOUSEKEEPING_MS,
+        timer -> {
+          gateway.connections().closeExpired();
+          front.closeExpired();
+        });
+    ReadyServer ready = new ReadyServer(vertx, this::isReady, metrics);
+    return front
+        .listen(settings.clientListen())
+        .compose(listening -> ready.listen(settings.readyListen()))
+        .mapEmpty();
+  }
+
+  /** Takes the signal that the settings file may have changed. */
+  public void reload() {
+    vertx.runOnContext(run -> log.line("reload").write());
+  }
+
+  /** Stops: not ready, requests finish, connections close. */
+  public Future<Void> stop() {
+    Promise<Void> done = Promise.promise();
+    vertx.runOnContext(run -> beginStop(done));
+    return done.future();
+  }
+
+  private void beginStop(Promise<Void> done) {
+    stopping = true;
+    long beganMs = clock.millis();
+    log.line("stopping").put("requests", front.active()).write();
+    front.beginStop();
+    vertx.setPeriodic(
+        STOP_CHECK_MS,
+        timer -> {
+          long elapsedMs = clock.millis() - beganMs;
+          if (elapsedMs < ROTATION_MS) {
+            return;
+          }
+          front.closeIdle();
+          boolean idle = front.active() == 0 && front.openConnections() == 0;
+          if (idle || elapsedMs >= settings.stopLimitMs() - STOP_MARGIN_MS) {
+            vertx.cancelTimer(timer);
+            log.line("stopped").put("requests_cut", front.active()).write();
+            done.tryComplete();
+          }
+        });
+  }
+
+  private boolean isReady() {
+    boolean ready = !stopping && beliefs.isComplete();
+    if (ready && !announcedReady) {
+      announcedReady = true;
+      log.line("ready").put("config", beliefs.tableVersion()).write();
+    }
+    return ready;
+  }
+
+  private void tail(String topic, StoreTail.Pace pace, StoreTail.Reader reader) {
+    new StoreTail(vertx, store, storeHealth, random, topic, pace, reader).start();
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PlatformMain.java
@@ -0,0 +1,111 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.daemon.lifecycle.SteadyClock;
+import io.magnoliaroute.platform.BootSettings;
+import io.magnoliaroute.platform.PlatformFormatException;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.io.IOException;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.InstantSource;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.jboss.logging.Logger;
+
+/** Runs a VM with the settings that the platform gives. */
+public final class PlatformMain {
+
+  private static final String SETTINGS_VARIABLE = "MAGNOLIAROUTE_SETTINGS";
+  private static final int EXIT_FAILED = 1;
+  private static final int EXIT_FINDINGS = 3;
+  private static final long STOP_MARGIN_MS = 1_000;
+
+  private PlatformMain() {}
+
+  /** Starts the VM; the process ends with code 3 where its settings cannot be read. */
+  public static void run() {
+    BootSettings settings = read();
+    Vertx vertx =
+        Vertx.vertx(
+            new VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)
+                .setFileSystemOptions(
+                    new FileSystemOptions()
+                        .setClassPathResolvingEnabled(false)
+                        .setFileCachingEnabled(false)));
+    InstantSource clock = new SteadyClock(InstantSource.system(), System::nanoTime);
+    SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
+    vertx.runOnContext(
+        run -> {
+          GatewayNode node = new GatewayNode(vertx, settings, clock, random);
+          onSignal("HUP", node::reload);
+          Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, settings), "stop"));
+          node.start()
+              .onFailure(
+                  e -> {
+                    Logger.getLogger(PlatformMain.class).error("the VM did not start", e);
+                    Runtime.getRuntime().halt(EXIT_FAILED);
+                  });
+        });
+  }
+
+  private static BootSettings read() {
+    String file = System.getenv(SETTINGS_VARIABLE);
+    try {
+      if (file == null) {
+        throw new PlatformFormatException(SETTINGS_VARIABLE + " is not set");
+      }
+      return BootSettings.decode(Files.readAllBytes(Path.of(file)));
+    } catch (IOException | PlatformFormatException e) {
+      System.err.println("cannot use the settings " + file + ": " + e.getMessage());
+      System.exit(EXIT_FINDINGS);
+      throw new IllegalStateException("unreachable", e);
+    }
+  }
+
+  private static void stop(GatewayNode node, BootSettings settings) {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    node.stop().onComplete(done -> stopped.complete(null));
+    try {
+      stopped.get(settings.stopLimitMs() + STOP_MARGIN_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      Logger.getLogger(PlatformMain.class).error("the planned stop failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    Runtime.getRuntime().halt(0);
+  }
+
+  // The runtime's signal class is not part of the platform's interface; without a handler the
+  // process would end.
+  private static void onSignal(String name, Runnable action) {
+    try {
+      Class<?> signalClass = Class.forName("sun.misc.Signal");
+      Class<?> handlerClass = Class.forName("sun.misc.SignalHandler");
+      InvocationHandler call =
+          (proxy, method, arguments) -> {
+            if (method.getName().equals("handle")) {
+              action.run();
+            }
+            return null;
+          };
+      Object handler =
+          Proxy.newProxyInstance(
+              PlatformMain.class.getClassLoader(), new Class<?>[] {handlerClass}, call);
+      Object signal = signalClass.getConstructor(String.class).newInstance(name);
+      signalClass.getMethod("handle", signalClass, handlerClass).invoke(null, signal, handler);
+    } catch (ReflectiveOperationException e) {
+      Logger.getLogger(PlatformMain.class).warnf(e, "signal %s is not handled", name);
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReadyServer.java
@@ -0,0 +1,46 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.settings.HostPort;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.function.BooleanSupplier;
+
+/** Answers whether this VM takes clients, and shows its metrics. */
+final class ReadyServer {
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final HttpServer server;
+  private final BooleanSupplier ready;
+  private final GatewayMetrics metrics;
+
+  ReadyServer(Vertx vertx, BooleanSupplier ready, GatewayMetrics metrics) {
+    this.ready = ready;
+    this.metrics = metrics;
+    this.server =
+        vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true));
+  }
+
+  Future<HttpServer> listen(HostPort address) {
+    return server.requestHandler(this::handle).listen(address.port(), address.host());
+  }
+
+  private void handle(HttpServerRequest request) {
+    switch (request.path()) {
+      case "/-/ready" -> {
+        boolean now = ready.getAsBoolean();
+        request
+            .response()
+            .setStatusCode(now ? OK : UNAVAILABLE)
+            .end(now ? "ready\n" : "not ready\n");
+      }
+      case "/metrics" -> request.response().end(metrics.text());
+      default -> request.response().setStatusCode(NOT_FOUND).end();
+    }
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/metrics/DaemonMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/metrics/DaemonMetrics.java
@@ -53,6 +53,11 @@
     teamHistogram(name + "{team=\"" + team + "\"," + classLabel + "}").update(recordedMs);
   }
 
+  /** Records a time under a label. */
+  public void timeOf(String name, String label, String value, long valueMs) {
+    histogram(name + "{" + label + "=\"" + value + "\"}").update(Math.max(0, valueMs));
+  }
+
   /** Shows a value that is read on each request. */
   public void gauge(String name, Gauge<Number> value) {
     registry.gauge(name, () -> value);
