Keep the token budgets of programs by recorded slices

Cause: programs that loop without end got up to nine times their budget. Change: a holder for each partition of programs, found by rendezvous hashing, grants itself slices by records that are appended only at the end it has read; turns are reserved at their most and settled by what was handed out. VMs find each other in the store and talk over the peer port; a VM without the store learns its beliefs from a peer. Excluded: one store call for each turn (100 a second, 4 ms each, and nothing runs in an outage).

--- /dev/null
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
@@ -0,0 +1,241 @@
+package io.magnoliaroute.core.allowance;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One holder's view of the budgets of the programs in one partition.
+ *
+ * <p>A slice counts as spent by everyone but its holder once its record is in the store, whatever
+ * becomes of the holder. Records are appended only at the end that the holder has read, so two
+ * holders never grant the same tokens. The first turn of a program runs while its first slice is
+ * being recorded; so much, one turn, may be spent without a record. While the store is away, a few
+ * more turns may run from memory. Used under one lock or on one event loop.
+ */
+public final class AllowancePartition {
+
+  /** Turns in a slice: few records for a program, little lost with a holder. */
+  static final int SLICE_TURNS = 3;
+
+  /** Turns that may run without a record while the store is away. */
+  static final int OFFLINE_TURNS = 3;
+
+  /** A program that nobody has used for this long does not come back; the routes keep a minute. */
+  static final long RETENTION_MS = 180_000;
+
+  /** Programs in one append; keeps a call far below the store's limit. */
+  private static final int MAX_RECORDS = 500;
+
+  private final String holder;
+  private final Map<String, Account> accounts = new HashMap<>();
+  private boolean loaded;
+  private long end;
+  private long confirmedAtMs;
+  private boolean appending;
+
+  private static final class Account {
+    private long budget;
+    private long turn;
+    private long granted;
+    private long mine;
+    private long spent;
+    private boolean wanted;
+    private long usedAtMs;
+  }
+
+  /**
+   * An effect: append the records if the partition ends at the offset.
+   *
+   * @param expectedEnd the offset
+   * @param grants the records
+   * @param drops programs whose records are no longer needed
+   */
+  public record Append(long expectedEnd, List<Grant> grants, List<String> drops) {
+
+    /** Copies the lists. */
+    public Append {
+      grants = List.copyOf(grants);
+      drops = List.copyOf(drops);
+    }
+  }
+
+  /** Makes a view that has not been loaded; the holder's name is unique for each of its starts. */
+  public AllowancePartition(String holder) {
+    this.holder = holder;
+  }
+
+  /** Returns whether the records have been read. */
+  public boolean isLoaded() {
+    return loaded;
+  }
+
+  /** Returns the offset up to which the records have been read. */
+  public long end() {
+    return end;
+  }
+
+  /** Returns how old the knowledge of other holders' records is. */
+  public long ageMs(long nowMs) {
+    return nowMs - confirmedAtMs;
+  }
+
+  /** Returns whether anything is known of the program. */
+  public boolean knows(String program) {
+    return accounts.containsKey(program);
+  }
+
+  /** Takes a listing of the newest records. */
+  public void load(List<Grant> newest, long newEnd, long nowMs) {
+    newest.forEach(grant -> apply(grant, nowMs));
+    loaded = true;
+    end = Math.max(end, newEnd);
+    confirmedAtMs = nowMs;
+  }
+
+  /** Takes records that follow the end, of other holders or of this one. */
+  public void read(List<Grant> records, long newEnd, long nowMs) {
+    records.forEach(grant -> apply(grant, nowMs));
+    end = Math.max(end, newEnd);
+    confirmedAtMs = nowMs;
+    appending = false;
+  }
+
+  /**
+   * Sets the most that a turn may generate aside.
+   *
+   * @param budgetTokens what all turns of the program may generate
+   * @param turnTokens the most that this turn generates
+   */
+  public Decision reserve(String program, long budgetTokens, long turnTokens, long nowMs) {
+    Account account = account(program, budgetTokens, turnTokens, nowMs);
+    if (account.spent + turnTokens <= account.mine) {
+      account.spent += turnTokens;
+      account.wanted |= account.mine - account.spent < turnTokens && room(account) > 0;
+      return Decision.GRANTED;
+    }
+    if (account.mine - account.spent + room(account) < turnTokens) {
+      return Decision.EXHAUSTED;
+    }
+    account.wanted = true;
+    if (account.granted == 0 && account.spent == 0) {
+      account.spent += turnTokens;
+      return Decision.GRANTED;
+    }
+    return Decision.WAIT;
+  }
+
+  /** Sets the most that a turn may generate aside while the store is away. */
+  public Decision reserveOffline(String program, long budgetTokens, long turnTokens, long nowMs) {
+    Account account = account(program, budgetTokens, turnTokens, nowMs);
+    if (account.mine - account.spent + room(account) < turnTokens) {
+      return Decision.EXHAUSTED;
+    }
+    long uncovered = account.spent + turnTokens - account.mine;
+    account.wanted = true;
+    if (uncovered > OFFLINE_TURNS * turnTokens) {
+      return Decision.WAIT;
+    }
+    account.spent += turnTokens;
+    return Decision.GRANTED;
+  }
+
+  /** Gives back what a turn has not handed out. */
+  public void settle(String program, long reservedTokens, long handedTokens, long nowMs) {
+    Account account = accounts.get(program);
+    if (account != null) {
+      account.spent = Math.max(0, account.spent - reservedTokens + handedTokens);
+      account.usedAtMs = nowMs;
+    }
+  }
+
+  /** Returns the records to append next, if any; one append is under way at a time. */
+  public Optional<Append> nextAppend(long nowMs) {
+    if (!loaded || appending) {
+      return Optional.empty();
+    }
+    List<Grant> grants = new ArrayList<>();
+    List<String> drops = new ArrayList<>();
+    for (Map.Entry<String, Account> each : accounts.entrySet()) {
+      Account account = each.getValue();
+      if (nowMs - account.usedAtMs >= RETENTION_MS && drops.size() < MAX_RECORDS) {
+        drops.add(each.getKey());
+        continue;
+      }
+      long amount = account.wanted ? slice(account) : 0;
+      if (amount > 0 && grants.size() < MAX_RECORDS) {
+        grants.add(new Grant(each.getKey(), account.granted + amount, holder));
+      }
+    }
+    if (grants.isEmpty() && drops.size() < MAX_RECORDS) {
+      // Programs that ended can wait for an append that is made anyway.
+      return Optional.empty();
+    }
+    appending = true;
+    return Optional.of(new Append(end, grants, drops));
+  }
+
+  /** Notes that the append under way has been done. */
+  public void appended(Append append, long newEnd, long nowMs) {
+    for (Grant grant : append.grants()) {
+      apply(grant, nowMs);
+    }
+    append.drops().forEach(accounts::remove);
+    end = newEnd;
+    confirmedAtMs = nowMs;
+    appending = false;
+  }
+
+  /** Notes that the append under way has certainly not been done and never will be. */
+  public void notAppended() {
+    appending = false;
+  }
+
+  /**
+   * Returns records that give back what this holder has not spent, and forgets its slices. Turns
+   * that still run keep their reservations.
+   */
+  public List<Grant> release() {
+    List<Grant> grants = new ArrayList<>();
+    for (Map.Entry<String, Account> each : accounts.entrySet()) {
+      Account account = each.getValue();
+      long unspent = account.mine - account.spent;
+      account.wanted = false;
+      if (unspent > 0) {
+        grants.add(new Grant(each.getKey(), account.granted - unspent, holder));
+        account.mine -= unspent;
+        account.granted -= unspent;
+      }
+    }
+    return grants;
+  }
+
+  private void apply(Grant grant, long nowMs) {
+    Account account = accounts.computeIfAbsent(grant.program(), name -> new Account());
+    if (grant.holder().equals(holder)) {
+      account.mine += grant.grantedTokens() - account.granted;
+      account.wanted = false;
+    }
+    account.granted = grant.grantedTokens();
+    account.usedAtMs = Math.max(account.usedAtMs, nowMs);
+  }
+
+  private Account account(String program, long budgetTokens, long turnTokens, long nowMs) {
+    Account account = accounts.computeIfAbsent(program, name -> new Account());
+    account.budget = account.budget == 0 ? budgetTokens : Math.min(account.budget, budgetTokens);
+    account.turn = Math.max(account.turn, turnTokens);
+    account.usedAtMs = nowMs;
+    return account;
+  }
+
+  private static long slice(Account account) {
+    long uncovered = Math.max(0, account.spent - account.mine);
+    return Math.min(room(account), Math.max(uncovered, SLICE_TURNS * account.turn));
+  }
+
+  private static long room(Account account) {
+    return account.budget - account.granted;
+  }
+}
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/Rendezvous.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/membership/Rendezvous.java
@@ -2,7 +2,10 @@
 
 import io.magnoliaroute.core.model.Hashing;
 import io.magnoliaroute.core.model.VmId;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 
 /**
  * Chooses owners by rendezvous hashing: the VM with the highest hash of key and VM owns the key.
@@ -34,6 +37,22 @@
     return best;
   }
 
+  /** Returns the VMs in the order in which they would own the key. */
+  public static List<VmId> ranked(String key, Collection<VmId> live) {
+    long keyHash = Hashing.fnv1a64(key);
+    List<VmId> ranked = new ArrayList<>(live);
+    ranked.sort(
+        Comparator.comparing((VmId vm) -> score(keyHash, vm), Long::compareUnsigned)
+            .reversed()
+            .thenComparing(Comparator.naturalOrder()));
+    return ranked;
+  }
+
+  /** Returns the key of a partition of program budgets. */
+  public static String allowanceKey(int partition) {
+    return "allowance/" + partition;
+  }
+
   /** Returns the key of an endpoint group. */
   public static String groupKey(String groupName) {
     return "group/" + groupName;
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -0,0 +1,240 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.allowance.AllowancePartition;
+import io.magnoliaroute.core.allowance.Decision;
+import io.magnoliaroute.core.allowance.Grant;
+import io.magnoliaroute.core.log.MalformedRecordException;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.platform.StoreClient;
+import io.magnoliaroute.platform.StoreException;
+import io.magnoliaroute.platform.StoreRecord;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Joins one partition of the budgets to the store. Used on one event loop. */
+final class AllowanceHolder {
+
+  /** The topic of the budgets' records. */
+  static final String TOPIC = StoreClient.KEYED_PREFIX + "allowances";
+
+  /** How long a turn waits for its slice; many times the store's usual answer. */
+  static final long WAIT_MS = 200;
+
+  /** Knowledge of other holders' records that is older is renewed before an unknown program. */
+  private static final long MAX_AGE_MS = 1_000;
+
+  private static final long RETRY_MS = 50;
+
+  private final Vertx vertx;
+  private final StoreClient store;
+  private final StoreHealth health;
+  private final InstantSource clock;
+  private final DecisionLog log;
+  private final int number;
+  private final AllowancePartition partition;
+  private final List<Runnable> waiting = new ArrayList<>();
+  private Future<Void> loading;
+  private boolean leaving;
+
+  AllowanceHolder(
+      Vertx vertx,
+      StoreClient store,
+      StoreHealth health,
+      InstantSource clock,
+      DecisionLog log,
+      String holder,
+      int number) {
+    this.vertx = vertx;
+    this.store = store;
+    this.health = health;
+    this.clock = clock;
+    this.log = log;
+    this.number = number;
+    this.partition = new AllowancePartition(holder);
+  }
+
+  /** Decides on a turn. */
+  Future<TurnBudgets.Verdict> reserve(
+      String program, long budgetTokens, long turnTokens, boolean offline) {
+    if (leaving) {
+      return Future.succeededFuture(TurnBudgets.Verdict.UNABLE);
+    }
+    if (offline) {
+      return Future.succeededFuture(
+          verdict(partition.reserveOffline(program, budgetTokens, turnTokens, clock.millis())));
+    }
+    Promise<TurnBudgets.Verdict> promise = Promise.promise();
+    long timer = vertx.setTimer(WAIT_MS, fired -> promise.tryComplete(TurnBudgets.Verdict.UNABLE));
+    current(program)
+        .onSuccess(ready -> decide(program, budgetTokens, turnTokens, promise))
+        .onFailure(e -> promise.tryComplete(TurnBudgets.Verdict.UNABLE));
+    return promise.future().onComplete(done -> vertx.cancelTimer(timer));
+  }
+
+  void settle(String program, long reservedTokens, long handedTokens) {
+    partition.settle(program, reservedTokens, handedTokens, clock.millis());
+  }
+
+  /** Gives back what was not spent; other holders take over. */
+  Future<Void> release() {
+    leaving = true;
+    if (!partition.isLoaded()) {
+      return Future.succeededFuture();
+    }
+    long end = partition.end();
+    List<Grant> grants = partition.release();
+    return grants.isEmpty()
+        ? Future.succeededFuture()
+        : store.append(TOPIC, number, Optional.of(end), records(grants, List.of())).mapEmpty();
+  }
+
+  private void decide(
+      String program, long budgetTokens, long turnTokens, Promise<TurnBudgets.Verdict> promise) {
+    if (promise.future().isComplete()) {
+      return;
+    }
+    Decision decision = partition.reserve(program, budgetTokens, turnTokens, clock.millis());
+    if (decision == Decision.WAIT) {
+      if (health.isOut()) {
+        promise.tryComplete(TurnBudgets.Verdict.UNABLE);
+        return;
+      }
+      waiting.add(() -> decide(program, budgetTokens, turnTokens, promise));
+    } else {
+      promise.tryComplete(verdict(decision));
+    }
+    append();
+  }
+
+  private static TurnBudgets.Verdict verdict(Decision decision) {
+    return switch (decision) {
+      case GRANTED -> TurnBudgets.Verdict.GRANTED;
+      case EXHAUSTED -> TurnBudgets.Verdict.EXHAUSTED;
+      default -> TurnBudgets.Verdict.UNABLE;
+    };
+  }
+
+  private void append() {
+    Optional<AllowancePartition.Append> next = partition.nextAppend(clock.millis());
+    if (next.isEmpty()) {
+      return;
+    }
+    AllowancePartition.Append append = next.get();
+    store
+        .append(
+            TOPIC,
+            number,
+            Optional.of(append.expectedEnd()),
+            records(append.grants(), append.drops()))
+        .onSuccess(
+            end -> {
+              partition.appended(append, end, clock.millis());
+              decideWaiting();
+            })
+        .onFailure(this::notAppended);
+  }
+
+  private void notAppended(Throwable cause) {
+    if (cause instanceof StoreException failure && failure.kind() == StoreException.Kind.NOT_DONE) {
+      partition.notAppended();
+      vertx.setTimer(RETRY_MS, fired -> decideWaiting());
+      return;
+    }
+    // The records may be there or may come; what follows the known end tells.
+    read()
+        .onComplete(
+            done -> {
+              if (done.succeeded()) {
+                decideWaiting();
+              } else {
+                partition.notAppended();
+                vertx.setTimer(RETRY_MS, fired -> decideWaiting());
+              }
+            });
+  }
+
+  private void decideWaiting() {
+    List<Runnable> again = List.copyOf(waiting);
+    waiting.clear();
+    again.forEach(Runnable::run);
+    append();
+  }
+
+  /** Completes once enough is known to decide on the program. */
+  private Future<Void> current(String program) {
+    if (partition.isLoaded()
+        && (partition.knows(program) || partition.ageMs(clock.millis()) < MAX_AGE_MS)) {
+      return Future.succeededFuture();
+    }
+    if (loading == null) {
+      loading = (partition.isLoaded() ? read() : load()).onComplete(done -> loading = null);
+    }
+    return loading;
+  }
+
+  private Future<Void> load() {
+    if (health.isOut()) {
+      return Future.failedFuture("the store is away");
+    }
+    return store
+        .newest(TOPIC, number)
+        .map(
+            newest -> {
+              partition.load(grants(newest.records()), newest.end(), clock.millis());
+              log.line("allowances_loaded")
+                  .put("partition", number)
+                  .put("programs", newest.records().size())
+                  .put("end", newest.end())
+                  .write();
+              return null;
+            });
+  }
+
+  private Future<Void> read() {
+    if (health.isOut()) {
+      return Future.failedFuture("the store is away");
+    }
+    return store
+        .read(TOPIC, number, partition.end(), 0)
+        .map(
+            page -> {
+              partition.read(grants(page.records()), page.nextOffset(), clock.millis());
+              return null;
+            });
+  }
+
+  private List<Grant> grants(List<StoreRecord> records) {
+    List<Grant> grants = new ArrayList<>();
+    for (StoreRecord record : records) {
+      if (record.value().isEmpty()) {
+        continue;
+      }
+      try {
+        grants.add(Grant.decode(record.key(), record.value().get()));
+      } catch (MalformedRecordException e) {
+        log.line("record_malformed")
+            .put("topic", TOPIC)
+            .put("problem", String.valueOf(e.getMessage()))
+            .put("offset", record.offset())
+            .write();
+      }
+    }
+    return grants;
+  }
+
+  private static List<StoreClient.KeyValue> records(List<Grant> grants, List<String> drops) {
+    List<StoreClient.KeyValue> records = new ArrayList<>();
+    for (Grant grant : grants) {
+      records.add(new StoreClient.KeyValue(grant.program(), grant.encode()));
+    }
+    for (String program : drops) {
+      records.add(new StoreClient.KeyValue(program, Bytes.copyOf(new byte[0])));
+    }
+    return records;
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/BeliefFollower.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/BeliefFollower.java
@@ -72,6 +72,20 @@
     }
   }
 
+  /** Takes what a peer believes of the endpoints; removals are learned from the store alone. */
+  void endpointsFromPeer(List<EndpointEntry> entries) {
+    int changed = 0;
+    for (EndpointEntry entry : entries) {
+      changed += beliefs.endpoints().apply(entry) ? 1 : 0;
+    }
+    if (!entries.isEmpty()) {
+      beliefs.endpointsKnown();
+    }
+    if (changed > 0) {
+      log.line("endpoints_from_peer").put("changed", changed).write();
+    }
+  }
+
   private void configuration(StoreRecord record) {
     if (record.key().equals(StoreClient.CONFIG_KEY) && record.value().isPresent()) {
       configuration(record.value().get().toArray(), "store");
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -44,7 +44,7 @@
   private final Runnable whenOver;
   private final EventCutter events = new EventCutter(MAX_EVENT_BYTES);
   private final long untilMs;
-  private Optional<Long> reservedTokens = Optional.empty();
+  private Optional<TurnBudgets.Reservation> reserved = Optional.empty();
   private Buffer buffered = Buffer.buffer();
   private ReplyHead head;
   private MultiMap replyHeaders;
@@ -105,7 +105,7 @@
       dispatch();
       return;
     }
-    reserve(budget.get(), leftMs);
+    reserve(budget.get());
   }
 
   /** Takes the news that the client has closed its connection. */
@@ -228,15 +228,15 @@
     }
   }
 
-  private void reserve(long budget, long leftMs) {
+  private void reserve(long budget) {
     String program = request.call().programId().orElseThrow();
     gateway
         .budgets()
-        .reserve(program, budget, request.call().maxOutputTokens(), leftMs / WAIT_DIVISOR)
+        .reserve(program, budget, request.call().maxOutputTokens())
         .onSuccess(
             reservation -> {
               if (reservation.verdict() == TurnBudgets.Verdict.GRANTED) {
-                reservedTokens = Optional.of(reservation.reservedTokens());
+                reserved = Optional.of(reservation);
                 if (over) {
                   settle();
                 } else {
@@ -389,9 +389,11 @@
   }
 
   private void settle() {
-    if (reservedTokens.isEmpty()) {
+    if (reserved.isEmpty()) {
       return;
     }
+    TurnBudgets.Reservation reservation = reserved.get();
+    reserved = Optional.empty();
     int perEvent =
         gateway
             .beliefs()
@@ -399,10 +401,8 @@
             .flatMap(table -> table.service(service))
             .map(ServiceSpec::tokensPerEvent)
             .orElse(0);
-    long reserved = reservedTokens.get();
-    reservedTokens = Optional.empty();
-    long handed = perEvent > 0 ? Math.min(reserved, (long) perEvent * events.events()) : reserved;
-    gateway.budgets().settle(request.call().programId().orElseThrow(), reserved, handed);
+    long handed = perEvent > 0 ? (long) perEvent * events.events() : reservation.reservedTokens();
+    gateway.budgets().settle(reservation, handed);
   }
 
   private boolean isStream() {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
@@ -23,6 +23,10 @@
     metrics.count("store_calls", "kind_outcome", kind + "/" + outcome);
   }
 
+  void allowance(String verdict) {
+    metrics.count("turn_reservations", "verdict", verdict);
+  }
+
   void count(String name) {
     metrics.count(name);
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -5,6 +5,7 @@
 import io.magnoliaroute.core.gateway.PrefixMemory;
 import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.gateway.ServiceTimes;
+import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.platform.BootSettings;
 import io.magnoliaroute.platform.StoreClient;
 import io.vertx.core.Future;
@@ -28,6 +29,13 @@
   /** The platform asks once a second and gives a VM up after two misses. */
   private static final long ROTATION_MS = 2_300;
 
+  /** VMs come and go seldom; a new one is asked for budgets a little later. */
+  private static final StoreTail.Pace VM_PACE = new StoreTail.Pace(5_000, 0);
+
+  /** A VM that does not know all others yet takes no more than this from an endpoint. */
+  private static final int MIN_CONNECTIONS = 4;
+
+  private static final long ASK_PEERS_MS = 500;
   private static final long HOUSEKEEPING_MS = 500;
   private static final long STOP_CHECK_MS = 50;
   private static final long STOP_MARGIN_MS = 700;
@@ -42,6 +50,10 @@
   private final StoreClient store;
   private final BeliefFollower follower;
   private final RandomGenerator random;
+  private final VmRoster roster;
+  private final Peers peers;
+  private final PeerDesk desk;
+  private final Allowances allowances;
   private final Gateway gateway;
   private final FrontServer front;
   private boolean stopping;
@@ -58,6 +70,36 @@
     this.storeHealth = new StoreHealth(clock, log);
     this.store = new StoreClient(vertx, settings.store(), metrics::storeCall);
     this.follower = new BeliefFollower(beliefs, storeHealth, clock, log);
+    VmEntry self =
+        new VmEntry(
+            settings.vm(),
+            settings.peerListen().orElse(settings.clientListen()),
+            settings.dataCentre());
+    this.roster = new VmRoster(self, store, log);
+    this.peers = new Peers(vertx, clock, log, metrics);
+    String holder = settings.vm().value() + "/" + random.nextLong(Long.MAX_VALUE);
+    this.allowances =
+        new Allowances(
+            self,
+            roster,
+            peers,
+            number -> new AllowanceHolder(vertx, store, storeHealth, clock, log, holder, number),
+            settings.storePartitions(),
+            log,
+            metrics);
+    CrashGuard crashes = new CrashGuard(clock, log);
+    this.desk =
+        new PeerDesk(
+            peers,
+            new PeerDesk.Parts(
+                self, roster, settings.seeds(), beliefs, follower, allowances, crashes),
+            random);
+    crashes.announceTo(desk::announceCrash);
+    this.gateway = join(crashes);
+    this.front = new FrontServer(gateway);
+  }
+
+  private Gateway join(CrashGuard crashes) {
     EndpointLoads loads = new EndpointLoads();
     PrefixMemory prefixes = new PrefixMemory(PREFIX_PARTS);
     ServiceTimes times = new ServiceTimes();
@@ -65,7 +107,8 @@
         new EndpointPicker(beliefs.endpoints(), loads, prefixes, times, settings.dataCentre());
     Watchdog watchdog = new Watchdog(clock, loads, log);
     EndpointConnections connections =
-        new EndpointConnections(vertx, clock, accepted -> Math.max(4, accepted / 24));
+        new EndpointConnections(
+            vertx, clock, accepted -> Math.max(MIN_CONNECTIONS, accepted / roster.size()));
     watchdog.probeWith(
         endpoint ->
             connections.probe(
@@ -75,23 +118,21 @@
                     .flatMap(table -> table.service(endpoint.service()))
                     .map(ServiceSpec::maxConnections)
                     .orElse(1)));
-    this.gateway =
-        new Gateway(
-            vertx,
-            clock,
-            random,
-            beliefs,
-            loads,
-            prefixes,
-            times,
-            picker,
-            connections,
-            watchdog,
-            new UnlimitedBudgets(),
-            new CrashGuard(clock, log),
-            log,
-            metrics);
-    this.front = new FrontServer(gateway);
+    return new Gateway(
+        vertx,
+        clock,
+        random,
+        beliefs,
+        loads,
+        prefixes,
+        times,
+        picker,
+        connections,
+        watchdog,
+        allowances,
+        crashes,
+        log,
+        metrics);
   }
 
   /** Starts following the store and listening. */
@@ -103,6 +144,14 @@
         .write();
     tail(StoreClient.OPERATOR_TOPIC, CONFIG_PACE, follower.configuration());
     tail(StoreClient.ENDPOINT_TOPIC, ENDPOINT_PACE, follower.endpoints());
+    tail(VmRoster.TOPIC, VM_PACE, roster);
+    vertx.setPeriodic(
+        ASK_PEERS_MS,
+        timer -> {
+          if (!beliefs.isComplete() || storeHealth.isOut()) {
+            desk.askForBeliefs();
+          }
+        });
     vertx.setPeriodic(Watchdog.CHECK_MS, timer -> gateway.watchdog().check());
     vertx.setPeriodic(
         HOUSEKEEPING_MS,
@@ -111,8 +160,12 @@
           front.closeExpired();
         });
     ReadyServer ready = new ReadyServer(vertx, this::isReady, metrics);
-    return front
-        .listen(settings.clientListen())
+    Future<?> peering =
+        settings.peerListen().isPresent()
+            ? peers.listen(settings.peerListen().get(), desk)
+            : Future.succeededFuture();
+    return peering
+        .compose(listening -> front.listen(settings.clientListen()))
         .compose(listening -> ready.listen(settings.readyListen()))
         .mapEmpty();
   }
@@ -134,6 +187,8 @@
     long beganMs = clock.millis();
     log.line("stopping").put("requests", front.active()).write();
     front.beginStop();
+    roster.leave();
+    allowances.release();
     vertx.setPeriodic(
         STOP_CHECK_MS,
         timer -> {
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Peers.java
@@ -0,0 +1,247 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.wire.FrameReader;
+import io.magnoliaroute.wire.MessageCodec;
+import io.magnoliaroute.wire.PeerMessage;
+import io.magnoliaroute.wire.WireException;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Requests and news between VMs. Used on one event loop. */
+final class Peers {
+
+  /** A message holds a configuration and the list of endpoints at the most. */
+  private static final int MAX_FRAME_BYTES = 16_777_216;
+
+  private static final int CONNECT_TIMEOUT_MS = 200;
+
+  /** A peer that did not answer is left alone for this long, and longer each time. */
+  private static final long FIRST_SUSPECT_MS = 500;
+
+  private static final long MAX_SUSPECT_MS = 4_000;
+  private static final int MAX_DOUBLINGS = 3;
+  private static final int MAX_WAITING = 200;
+
+  private final Vertx vertx;
+  private final InstantSource clock;
+  private final DecisionLog log;
+  private final GatewayMetrics metrics;
+  private final MessageCodec codec = new MessageCodec();
+  private final NetClient client;
+  private final Map<HostPort, Peer> peers = new HashMap<>();
+  private Server server;
+  private long lastRequest;
+
+  /** Serves what other VMs send. */
+  interface Server {
+
+    /** Answers a request. */
+    Future<PeerMessage> asked(PeerMessage request);
+
+    /** Takes news. */
+    void told(PeerMessage news);
+
+    /** Takes an answer that came after its request was given up. */
+    void answeredLate(HostPort from, PeerMessage answer);
+  }
+
+  private static final class Peer {
+    private NetSocket socket;
+    private boolean connecting;
+    private final List<Buffer> waiting = new ArrayList<>();
+    private final Map<Long, Promise<PeerMessage>> asked = new HashMap<>();
+    private int failures;
+    private long suspectUntilMs;
+  }
+
+  Peers(Vertx vertx, InstantSource clock, DecisionLog log, GatewayMetrics metrics) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.log = log;
+    this.metrics = metrics;
+    this.client =
+        vertx.createNetClient(
+            new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
+  }
+
+  Future<NetServer> listen(HostPort address, Server newServer) {
+    server = newServer;
+    return vertx
+        .createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true))
+        .connectHandler(this::accepted)
+        .listen(address.port(), address.host());
+  }
+
+  /** Returns a number for the next request. */
+  long nextRequest() {
+    return ++lastRequest;
+  }
+
+  /** Returns whether the peer has failed lately. */
+  boolean isSuspect(HostPort address) {
+    Peer peer = peers.get(address);
+    return peer != null && clock.millis() < peer.suspectUntilMs;
+  }
+
+  /** Sends a request and completes with its answer. */
+  Future<PeerMessage> ask(HostPort address, long request, PeerMessage message, long timeoutMs) {
+    Peer peer = peers.computeIfAbsent(address, a -> new Peer());
+    Promise<PeerMessage> promise = Promise.promise();
+    peer.asked.put(request, promise);
+    long timer =
+        vertx.setTimer(
+            timeoutMs,
+            fired -> {
+              if (peer.asked.remove(request) != null) {
+                failed(address, peer, "no answer in " + timeoutMs + " ms");
+                promise.tryFail("no answer of " + address);
+              }
+            });
+    send(address, peer, message);
+    return promise.future().onComplete(done -> vertx.cancelTimer(timer));
+  }
+
+  /** Sends news; they are lost where the peer cannot be reached. */
+  void tell(HostPort address, PeerMessage message) {
+    send(address, peers.computeIfAbsent(address, a -> new Peer()), message);
+  }
+
+  private void send(HostPort address, Peer peer, PeerMessage message) {
+    Buffer frame = FrameReader.frame(codec.encode(message));
+    if (peer.socket != null) {
+      peer.socket.write(frame);
+      return;
+    }
+    if (peer.waiting.size() < MAX_WAITING) {
+      peer.waiting.add(frame);
+    }
+    connect(address, peer);
+  }
+
+  private void connect(HostPort address, Peer peer) {
+    if (peer.connecting) {
+      return;
+    }
+    peer.connecting = true;
+    client
+        .connect(address.port(), address.host())
+        .onSuccess(
+            socket -> {
+              peer.connecting = false;
+              peer.socket = socket;
+              socket.handler(reader(socket, message -> answered(address, peer, message)));
+              socket.exceptionHandler(e -> socket.close());
+              socket.closeHandler(closed -> closed(address, peer, socket));
+              peer.waiting.forEach(socket::write);
+              peer.waiting.clear();
+            })
+        .onFailure(
+            e -> {
+              peer.connecting = false;
+              failed(address, peer, String.valueOf(e.getMessage()));
+            });
+  }
+
+  private void closed(HostPort address, Peer peer, NetSocket socket) {
+    if (peer.socket == socket) {
+      peer.socket = null;
+      if (!peer.asked.isEmpty()) {
+        failed(address, peer, "connection closed");
+      }
+    }
+  }
+
+  private void failed(HostPort address, Peer peer, String cause) {
+    if (clock.millis() >= peer.suspectUntilMs) {
+      long suspectMs =
+          Math.min(MAX_SUSPECT_MS, FIRST_SUSPECT_MS << Math.min(peer.failures, MAX_DOUBLINGS));
+      peer.failures++;
+      peer.suspectUntilMs = clock.millis() + suspectMs;
+      log.line("peer_suspect")
+          .put("peer", address.toString())
+          .put("cause", cause)
+          .put("for_ms", suspectMs)
+          .write();
+    }
+    metrics.count("peer_failures");
+    peer.waiting.clear();
+    NetSocket socket = peer.socket;
+    peer.socket = null;
+    if (socket != null) {
+      socket.close();
+    }
+    List<Promise<PeerMessage>> open = List.copyOf(peer.asked.values());
+    peer.asked.clear();
+    open.forEach(promise -> promise.tryFail(cause));
+  }
+
+  private void answered(HostPort address, Peer peer, PeerMessage message) {
+    peer.failures = 0;
+    peer.suspectUntilMs = 0;
+    Promise<PeerMessage> promise = peer.asked.remove(requestOf(message));
+    if (promise != null) {
+      promise.tryComplete(message);
+    } else {
+      server.answeredLate(address, message);
+    }
+  }
+
+  private static long requestOf(PeerMessage message) {
+    if (message instanceof PeerMessage.AllowanceReply reply) {
+      return reply.request();
+    }
+    return message instanceof PeerMessage.BeliefsReply reply ? reply.request() : -1;
+  }
+
+  private void accepted(NetSocket socket) {
+    socket.exceptionHandler(e -> socket.close());
+    socket.handler(
+        reader(
+            socket,
+            message -> {
+              if (message instanceof PeerMessage.AllowanceAsk
+                  || message instanceof PeerMessage.BeliefsAsk) {
+                server
+                    .asked(message)
+                    .onSuccess(reply -> socket.write(FrameReader.frame(codec.encode(reply))));
+              } else {
+                server.told(message);
+              }
+            }));
+  }
+
+  private FrameReader reader(NetSocket socket, Consumer<PeerMessage> messages) {
+    return new FrameReader(
+        MAX_FRAME_BYTES,
+        frame -> {
+          try {
+            messages.accept(codec.decode(frame));
+          } catch (WireException e) {
+            rejected(socket, e);
+          }
+        },
+        e -> rejected(socket, e));
+  }
+
+  private void rejected(NetSocket socket, WireException problem) {
+    log.line("peer_frame_rejected")
+        .put("peer", String.valueOf(socket.remoteAddress()))
+        .put("problem", String.valueOf(problem.getMessage()))
+        .write();
+    socket.close();
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
@@ -1,6 +1,8 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.magnoliaroute.core.settings.HostPort;
 import io.vertx.core.Future;
+import java.util.Optional;
 
 /** Keeps the token budgets of programs. */
 interface TurnBudgets {
@@ -12,20 +14,23 @@
     /** The budget does not hold another turn. */
     EXHAUSTED,
     /** It cannot be known now whether the budget holds another turn. */
-    UNKNOWN
+    UNABLE
   }
 
   /**
    * A reservation.
    *
    * @param verdict whether the turn may run
+   * @param program the program
    * @param reservedTokens the tokens set aside
+   * @param holder the VM that has set them aside; absent where it is this one
    */
-  record Reservation(Verdict verdict, long reservedTokens) {}
+  record Reservation(
+      Verdict verdict, String program, long reservedTokens, Optional<HostPort> holder) {}
 
   /** Sets the most that a turn may generate aside. */
-  Future<Reservation> reserve(String program, long budgetTokens, long turnTokens, long waitMs);
+  Future<Reservation> reserve(String program, long budgetTokens, long turnTokens);
 
   /** Gives back what a turn has not handed to its client. */
-  void settle(String program, long reservedTokens, long handedTokens);
+  void settle(Reservation reservation, long handedTokens);
 }
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmRoster.java
@@ -0,0 +1,122 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.gateway.VmEntry;
+import io.magnoliaroute.core.log.MalformedRecordException;
+import io.magnoliaroute.core.model.Bytes;
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.platform.StoreClient;
+import io.magnoliaroute.platform.StoreRecord;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The VMs of the system, as they have written themselves into the store. */
+final class VmRoster implements StoreTail.Reader {
+
+  /** The topic of the VMs' entries. */
+  static final String TOPIC = StoreClient.KEYED_PREFIX + "vms";
+
+  private final VmEntry self;
+  private final StoreClient store;
+  private final DecisionLog log;
+  private final Map<VmId, VmEntry> vms = new HashMap<>();
+  private boolean writing;
+  private boolean leaving;
+
+  VmRoster(VmEntry self, StoreClient store, DecisionLog log) {
+    this.self = self;
+    this.store = store;
+    this.log = log;
+    vms.put(self.vm(), self);
+  }
+
+  /** Returns all VMs, this one included. */
+  Collection<VmEntry> all() {
+    return vms.values();
+  }
+
+  int size() {
+    return vms.size();
+  }
+
+  /** Takes what a peer knows; the store's records go before it. */
+  void learn(VmEntry entry) {
+    vms.putIfAbsent(entry.vm(), entry);
+  }
+
+  /** Takes this VM out of the store. */
+  void leave() {
+    leaving = true;
+    store.append(
+        TOPIC,
+        0,
+        Optional.empty(),
+        List.of(new StoreClient.KeyValue(self.vm().value(), Bytes.copyOf(new byte[0]))));
+  }
+
+  @Override
+  public void listing(StoreClient.Newest listing) {
+    List<VmId> listed = new ArrayList<>();
+    boolean found = false;
+    for (StoreRecord record : listing.records()) {
+      Optional<VmEntry> entry = apply(record);
+      entry.ifPresent(known -> listed.add(known.vm()));
+      found |= entry.isPresent() && entry.get().equals(self);
+    }
+    vms.keySet().removeIf(vm -> !listed.contains(vm) && !vm.equals(self.vm()));
+    if (!found) {
+      register();
+    }
+  }
+
+  @Override
+  public void records(StoreClient.Page page) {
+    for (StoreRecord record : page.records()) {
+      Optional<VmEntry> entry = apply(record);
+      if (record.key().equals(self.vm().value())
+          && (entry.isEmpty() || !entry.get().equals(self))) {
+        register();
+      }
+    }
+  }
+
+  private Optional<VmEntry> apply(StoreRecord record) {
+    try {
+      VmId vm = new VmId(record.key());
+      if (record.value().isEmpty()) {
+        if (!vm.equals(self.vm()) && vms.remove(vm) != null) {
+          log.line("vm_left").put("vm", vm.value()).write();
+        }
+        return Optional.empty();
+      }
+      VmEntry entry = VmEntry.decode(record.key(), record.value().get());
+      if (!vm.equals(self.vm()) && !entry.equals(vms.put(vm, entry))) {
+        log.line("vm_joined").put("vm", vm.value()).put("at", entry.address().toString()).write();
+      }
+      return Optional.of(entry);
+    } catch (MalformedRecordException | IllegalArgumentException e) {
+      log.line("record_malformed")
+          .put("topic", TOPIC)
+          .put("problem", String.valueOf(e.getMessage()))
+          .write();
+      return Optional.empty();
+    }
+  }
+
+  private void register() {
+    if (writing || leaving) {
+      return;
+    }
+    writing = true;
+    store
+        .append(
+            TOPIC,
+            0,
+            Optional.empty(),
+            List.of(new StoreClient.KeyValue(self.vm().value(), self.encode())))
+        .onComplete(done -> writing = false);
+  }
+}
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
@@ -28,7 +28,13 @@
   PROGRAM_CANCEL(24, PeerMessage.ProgramCancel.class),
   PROGRAM_CREDIT(25, PeerMessage.ProgramCredit.class),
   CACHE_RELEASE(30, PeerMessage.CacheRelease.class),
-  HISTORY_MIRROR(31, PeerMessage.HistoryMirror.class);
+  HISTORY_MIRROR(31, PeerMessage.HistoryMirror.class),
+  ALLOWANCE_ASK(40, PeerMessage.AllowanceAsk.class),
+  ALLOWANCE_REPLY(41, PeerMessage.AllowanceReply.class),
+  ALLOWANCE_SETTLE(42, PeerMessage.AllowanceSettle.class),
+  REQUEST_CRASHED(43, PeerMessage.RequestCrashed.class),
+  BELIEFS_ASK(44, PeerMessage.BeliefsAsk.class),
+  BELIEFS_REPLY(45, PeerMessage.BeliefsReply.class);
 
   private static final Map<Integer, MessageType> BY_NUMBER =
       Stream.of(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -124,6 +124,72 @@
   record HistoryMirror(int partition, ProgramId program, int turn, Bytes content)
       implements PeerMessage {}
 
+  /**
+   * Asks a holder of program budgets for a turn.
+   *
+   * @param request matches the answer; unique for the connection
+   * @param program the program
+   * @param budgetTokens what all turns of the program may generate
+   * @param turnTokens the most that this turn generates
+   * @param offline whether the holder may decide without the store
+   */
+  record AllowanceAsk(
+      long request, String program, long budgetTokens, long turnTokens, boolean offline)
+      implements PeerMessage {}
+
+  /** Answers {@link AllowanceAsk}; the verdict is the name of one of the holder's verdicts. */
+  record AllowanceReply(long request, String program, long turnTokens, String verdict)
+      implements PeerMessage {}
+
+  /** Gives back what a turn has not handed out. */
+  record AllowanceSettle(String program, long reservedTokens, long handedTokens)
+      implements PeerMessage {}
+
+  /** Tells that an endpoint crashed while it ran a request. */
+  record RequestCrashed(String fingerprint, String endpoint) implements PeerMessage {}
+
+  /**
+   * Asks for what the receiver believes of the configuration, the endpoints and the VMs.
+   *
+   * @param request matches the answer; unique for the connection
+   * @param configVersion the version that the sender has
+   */
+  record BeliefsAsk(long request, long configVersion) implements PeerMessage {}
+
+  /**
+   * Answers {@link BeliefsAsk}.
+   *
+   * @param request the request that is answered
+   * @param config the configuration; empty where the asker has it
+   * @param endpoints the endpoints
+   * @param vms the VMs
+   */
+  record BeliefsReply(
+      long request, Bytes config, List<EndpointBelief> endpoints, List<VmBelief> vms)
+      implements PeerMessage {
+
+    /** Copies the lists. */
+    public BeliefsReply {
+      endpoints = List.copyOf(endpoints);
+      vms = List.copyOf(vms);
+    }
+  }
+
+  /** An endpoint as its own entry describes it. */
+  record EndpointBelief(
+      String id,
+      String service,
+      String host,
+      int port,
+      String dataCentre,
+      int slots,
+      boolean draining,
+      long startedAtMs,
+      long sequence) {}
+
+  /** A VM with its address for peers. */
+  record VmBelief(String vm, String host, int port, String dataCentre) {}
+
   /** One header field. */
   record HeaderField(String name, String value) {}
 }
