Decide turns in a cut-off data centre by what its VMs were told, and record slices before turns run

Cause: in a data centre that was cut off, the VM that decided from memory knew nothing of the programs that others had served, so a looping program got three more turns; asking three VMs in vain took a second. A sequence test with three holders also showed that an unrecorded first turn can be granted by each holder. Change: no turn runs before its slice is recorded; the first VM of each data centre is told what is used after each turn and decides when the store is away; spent programs are told to all VMs; one distant VM is asked, then near ones.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
@@ -11,9 +11,10 @@
  *
  * <p>A slice counts as spent by everyone but its holder once its record is in the store, whatever
  * becomes of the holder. Records are appended only at the end that the holder has read, so two
- * holders never grant the same tokens. The first turn of a program runs while its first slice is
- * being recorded; so much, one turn, may be spent without a record. While the store is away, a few
- * more turns may run from memory. Used under one lock or on one event loop.
+ * holders never grant the same tokens, and no turn runs before its slice is recorded. While the
+ * store is away, a few turns run from memory, by what other VMs have told of the program; only
+ * these may exceed the budget, when the memory is lost in the same outage. Used under one lock or
+ * on one event loop.
  */
 public final class AllowancePartition {
 
@@ -42,6 +43,7 @@
     private long granted;
     private long mine;
     private long spent;
+    private long told;
     private boolean wanted;
     private long usedAtMs;
   }
@@ -82,9 +84,15 @@
     return nowMs - confirmedAtMs;
   }
 
-  /** Returns whether anything is known of the program. */
+  /** Returns whether the program has a record, or has been granted a turn here. */
   public boolean knows(String program) {
-    return accounts.containsKey(program);
+    Account account = accounts.get(program);
+    return account != null && (account.granted > 0 || account.spent > 0);
+  }
+
+  /** Returns whether turns have run, or will run, that no record covers yet. */
+  public boolean wantsRecord() {
+    return accounts.values().stream().anyMatch(account -> account.wanted);
   }
 
   /** Takes a listing of the newest records. */
@@ -120,17 +128,26 @@
       return Decision.EXHAUSTED;
     }
     account.wanted = true;
-    if (account.granted == 0 && account.spent == 0) {
-      account.spent += turnTokens;
-      return Decision.GRANTED;
-    }
     return Decision.WAIT;
   }
 
+  /** Takes what another VM knows to be used of a program's budget. */
+  public void told(String program, long usedTokens, long nowMs) {
+    Account account = accounts.computeIfAbsent(program, name -> new Account());
+    account.told = Math.max(account.told, usedTokens);
+    account.usedAtMs = nowMs;
+  }
+
+  /** Returns what is known to be used of a program's budget, running turns at their most. */
+  public long used(String program) {
+    Account account = accounts.get(program);
+    return account == null ? 0 : used(account);
+  }
+
   /** Sets the most that a turn may generate aside while the store is away. */
   public Decision reserveOffline(String program, long budgetTokens, long turnTokens, long nowMs) {
     Account account = account(program, budgetTokens, turnTokens, nowMs);
-    if (account.mine - account.spent + room(account) < turnTokens) {
+    if (used(account) + turnTokens > account.budget) {
       return Decision.EXHAUSTED;
     }
     long uncovered = account.spent + turnTokens - account.mine;
@@ -138,6 +155,7 @@
     if (uncovered > OFFLINE_TURNS * turnTokens) {
       return Decision.WAIT;
     }
+    account.told = used(account) + turnTokens;
     account.spent += turnTokens;
     return Decision.GRANTED;
   }
@@ -147,6 +165,7 @@
     Account account = accounts.get(program);
     if (account != null) {
       account.spent = Math.max(0, account.spent - reservedTokens + handedTokens);
+      account.told = Math.max(0, account.told - reservedTokens + handedTokens);
       account.usedAtMs = nowMs;
     }
   }
@@ -235,6 +254,11 @@
     return Math.min(room(account), Math.max(uncovered, SLICE_TURNS * account.turn));
   }
 
+  private static long used(Account account) {
+    long recorded = account.granted - account.mine + account.spent;
+    return Math.max(recorded, account.told);
+  }
+
   private static long room(Account account) {
     return account.budget - account.granted;
   }
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowancePartitionTest.java
@@ -0,0 +1,222 @@
+package io.magnoliaroute.core.allowance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against programs that get more tokens than their budget and one turn. */
+@DisplayName("A holder's view of the budgets in a partition")
+class AllowancePartitionTest {
+
+  private static final long TURN = 100;
+  private static final long BUDGET = 800;
+  private static final String PROGRAM = "p1";
+
+  private final AllowancePartition holder = new AllowancePartition("vm-1/1");
+
+  private Decision reserve(AllowancePartition at) {
+    return at.reserve(PROGRAM, BUDGET, TURN, 0);
+  }
+
+  private static void record(AllowancePartition at) {
+    AllowancePartition.Append append = at.nextAppend(0).orElseThrow();
+    at.appended(append, append.expectedEnd() + append.grants().size(), 0);
+  }
+
+  @Nested
+  @DisplayName("with the store")
+  class WithTheStore {
+
+    @Test
+    @DisplayName("lets the first turn of a program wait until its slice has been recorded")
+    void firstTurnWaits() {
+      holder.load(List.of(), 0, 0);
+
+      assertEquals(Decision.WAIT, reserve(holder));
+      assertEquals(
+          List.of(new Grant(PROGRAM, 3 * TURN, "vm-1/1")),
+          holder.nextAppend(0).orElseThrow().grants());
+    }
+
+    @Test
+    @DisplayName("runs turns inside a recorded slice without further records")
+    void insideSlice() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      record(holder);
+
+      assertEquals(Decision.GRANTED, reserve(holder));
+      assertEquals(Decision.GRANTED, reserve(holder));
+      assertTrue(holder.nextAppend(0).isEmpty());
+    }
+
+    @Test
+    @DisplayName("asks for the next slice before the last one is spent")
+    void asksAhead() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      record(holder);
+      reserve(holder);
+      reserve(holder);
+      assertTrue(holder.nextAppend(0).isEmpty());
+
+      reserve(holder);
+
+      assertEquals(6 * TURN, holder.nextAppend(0).orElseThrow().grants().get(0).grantedTokens());
+    }
+
+    @Test
+    @DisplayName("refuses a turn that the budget does not hold")
+    void exhausted() {
+      holder.load(List.of(new Grant(PROGRAM, BUDGET - 50, "vm-2/1")), 1, 0);
+
+      assertEquals(Decision.EXHAUSTED, reserve(holder));
+    }
+
+    @Test
+    @DisplayName("counts what a turn handed out, not what it reserved, once the turn has ended")
+    void settles() {
+      holder.load(List.of(), 0, 0);
+      int granted = 0;
+      Decision decision = reserve(holder);
+      while (decision != Decision.EXHAUSTED) {
+        if (decision == Decision.GRANTED) {
+          granted++;
+          holder.settle(PROGRAM, TURN, TURN / 4, 0);
+        }
+        holder.nextAppend(0).ifPresent(a -> holder.appended(a, a.expectedEnd() + 1, 0));
+        decision = reserve(holder);
+      }
+
+      // Each turn takes a quarter; the last one must still fit with its most.
+      assertEquals(29, granted);
+    }
+
+    @Test
+    @DisplayName("has one append under way at a time")
+    void oneAppend() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      assertTrue(holder.nextAppend(0).isPresent());
+
+      assertTrue(holder.nextAppend(0).isEmpty());
+      holder.notAppended();
+      assertTrue(holder.nextAppend(0).isPresent());
+    }
+
+    @Test
+    @DisplayName("drops the record of a program that has not been used for long")
+    void dropsUnused() {
+      holder.load(List.of(new Grant("old", 10, "vm-2/1")), 1, 0);
+      holder.reserve(PROGRAM, BUDGET, TURN, AllowancePartition.RETENTION_MS);
+
+      AllowancePartition.Append append =
+          holder.nextAppend(AllowancePartition.RETENTION_MS).orElseThrow();
+
+      assertEquals(List.of("old"), append.drops());
+      holder.appended(append, 3, AllowancePartition.RETENTION_MS);
+      assertFalse(holder.knows("old"));
+    }
+  }
+
+  @Nested
+  @DisplayName("beside another holder")
+  class BesideAnotherHolder {
+
+    private final AllowancePartition other = new AllowancePartition("vm-2/1");
+
+    @Test
+    @DisplayName("counts a slice of the other holder as spent")
+    void otherSliceIsSpent() {
+      holder.load(List.of(), 0, 0);
+      other.load(List.of(), 0, 0);
+      reserve(holder);
+      AllowancePartition.Append first = holder.nextAppend(0).orElseThrow();
+      holder.appended(first, 1, 0);
+
+      other.read(first.grants(), 1, 0);
+      other.reserve(PROGRAM, BUDGET, TURN, 0);
+
+      assertEquals(6 * TURN, other.nextAppend(0).orElseThrow().grants().get(0).grantedTokens());
+    }
+
+    @Test
+    @DisplayName("takes its own record that it had given up for lost")
+    void ownLateRecord() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      AllowancePartition.Append lost = holder.nextAppend(0).orElseThrow();
+
+      holder.read(lost.grants(), 1, 0);
+
+      assertEquals(Decision.GRANTED, reserve(holder));
+      assertEquals(Decision.GRANTED, reserve(holder));
+      assertEquals(1, holder.end());
+    }
+
+    @Test
+    @DisplayName("gives back what it has not spent when it leaves")
+    void release() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      record(holder);
+
+      reserve(holder);
+
+      assertEquals(List.of(new Grant(PROGRAM, TURN, "vm-1/1")), holder.release());
+    }
+  }
+
+  @Nested
+  @DisplayName("without the store")
+  class WithoutTheStore {
+
+    @Test
+    @DisplayName("runs a few turns of a program from memory, then no more")
+    void fewTurns() {
+      List<Decision> decisions = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        decisions.add(holder.reserveOffline(PROGRAM, BUDGET, TURN, 0));
+      }
+
+      assertEquals(
+          List.of(Decision.GRANTED, Decision.GRANTED, Decision.GRANTED, Decision.WAIT), decisions);
+    }
+
+    @Test
+    @DisplayName("counts what other VMs have told of the program")
+    void told() {
+      holder.told(PROGRAM, BUDGET - TURN, 0);
+
+      assertEquals(Decision.GRANTED, holder.reserveOffline(PROGRAM, BUDGET, TURN, 0));
+      assertEquals(Decision.EXHAUSTED, holder.reserveOffline(PROGRAM, BUDGET, TURN, 0));
+    }
+
+    @Test
+    @DisplayName("records what ran from memory once the store is back")
+    void recordsLater() {
+      holder.reserveOffline(PROGRAM, BUDGET, TURN, 0);
+      holder.reserveOffline(PROGRAM, BUDGET, TURN, 0);
+      assertEquals(Optional.empty(), holder.nextAppend(0));
+
+      holder.load(List.of(), 0, 0);
+
+      assertEquals(3 * TURN, holder.nextAppend(0).orElseThrow().grants().get(0).grantedTokens());
+    }
+
+    @Test
+    @DisplayName("refuses a program that is known to have spent its budget")
+    void knownExhausted() {
+      holder.load(List.of(new Grant(PROGRAM, BUDGET, "vm-2/1")), 1, 0);
+
+      assertEquals(Decision.EXHAUSTED, holder.reserveOffline(PROGRAM, BUDGET, TURN, 0));
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowanceSequencesTest.java
@@ -0,0 +1,102 @@
+package io.magnoliaroute.core.allowance;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Label;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/**
+ * Guards against budgets that are exceeded when holders change, die and come back, and when the
+ * store loses answers.
+ */
+class AllowanceSequencesTest {
+
+  private static final long TURN = 100;
+  private static final int HOLDERS = 3;
+
+  /** The store's side of one partition. */
+  private static final class Store {
+    private final List<Grant> records = new ArrayList<>();
+
+    private boolean append(AllowancePartition.Append append) {
+      if (append.expectedEnd() != records.size()) {
+        return false;
+      }
+      records.addAll(append.grants());
+      return true;
+    }
+
+    private List<Grant> newest() {
+      Map<String, Grant> newest = new LinkedHashMap<>();
+      records.forEach(grant -> newest.put(grant.program(), grant));
+      return List.copyOf(newest.values());
+    }
+
+    private List<Grant> from(long offset) {
+      return List.copyOf(records.subList((int) offset, records.size()));
+    }
+  }
+
+  @Property(tries = 2_000)
+  @Label("a program that never stops asking gets no more than its budget")
+  void budgetHolds(
+      @ForAll @Size(min = 1, max = 200) List<@IntRange(min = 0, max = 17) Integer> steps,
+      @ForAll @IntRange(min = 1, max = 12) int budgetTurns) {
+    Store store = new Store();
+    List<AllowancePartition> holders = new ArrayList<>();
+    for (int i = 0; i < HOLDERS; i++) {
+      holders.add(started(store, i, 0));
+    }
+    long budget = budgetTurns * TURN;
+    long handed = 0;
+    int starts = HOLDERS;
+    for (int step : steps) {
+      int index = step % HOLDERS;
+      AllowancePartition holder = holders.get(index);
+      switch (step / HOLDERS) {
+        case 0, 1 -> handed += turn(holder, store, budget);
+        case 2 -> append(holder, store, true);
+        case 3 -> append(holder, store, false);
+        case 4 -> holder.read(store.from(holder.end()), store.records.size(), 0);
+        default -> holders.set(index, started(store, index, starts++));
+      }
+    }
+
+    assertTrue(handed <= budget, "handed " + handed + " of " + budget + " in steps " + steps);
+  }
+
+  // As the daemon does: an unknown program is decided with fresh knowledge only.
+  private static long turn(AllowancePartition holder, Store store, long budget) {
+    if (!holder.knows("p")) {
+      holder.read(store.from(holder.end()), store.records.size(), 0);
+    }
+    return holder.reserve("p", budget, TURN, 0) == Decision.GRANTED ? TURN : 0;
+  }
+
+  private static void append(AllowancePartition holder, Store store, boolean answered) {
+    holder
+        .nextAppend(0)
+        .ifPresent(
+            append -> {
+              boolean done = store.append(append);
+              if (done && answered) {
+                holder.appended(append, store.records.size(), 0);
+              } else {
+                holder.read(store.from(holder.end()), store.records.size(), 0);
+              }
+            });
+  }
+
+  private static AllowancePartition started(Store store, int index, int start) {
+    AllowancePartition holder = new AllowancePartition("vm-" + index + "/" + start);
+    holder.load(store.newest(), store.records.size(), 0);
+    return holder;
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointDirectoryTest.java
@@ -0,0 +1,103 @@
+package io.magnoliaroute.core.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.settings.HostPort;
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests to endpoints that leave, and against losing endpoints that live. */
+@DisplayName("The directory of endpoints")
+class EndpointDirectoryTest {
+
+  private static final EndpointId ID = new EndpointId("e1");
+  private static final long GRACE_MS = 2_000;
+
+  private final EndpointDirectory directory = new EndpointDirectory(GRACE_MS);
+
+  private static EndpointEntry entry(boolean draining, long startedAtMs, long sequence) {
+    return new EndpointEntry(
+        ID, "s", new HostPort("10.0.0.1", 80), "dc", 4, draining, startedAtMs, sequence);
+  }
+
+  private boolean isUsed(long nowMs) {
+    return !directory.usable("s", nowMs).isEmpty();
+  }
+
+  @Test
+  @DisplayName("gives no request to an endpoint that drains")
+  void draining() {
+    directory.apply(entry(false, 1, 1));
+    directory.apply(entry(true, 1, 2));
+
+    assertFalse(isUsed(0));
+  }
+
+  @Test
+  @DisplayName("passes over an entry that is older than the one it has")
+  void olderEntry() {
+    directory.apply(entry(true, 1, 5));
+
+    assertFalse(directory.apply(entry(false, 1, 4)));
+    assertFalse(isUsed(0));
+  }
+
+  @Test
+  @DisplayName("takes a new start under the same id though its sequence begins anew")
+  void newStart() {
+    directory.apply(entry(true, 1, 5));
+
+    assertTrue(directory.apply(entry(false, 2, 1)));
+    assertTrue(isUsed(0));
+  }
+
+  @Test
+  @DisplayName("does not bring a removed endpoint back by an old entry")
+  void oldEntryAfterRemoval() {
+    directory.apply(entry(false, 1, 5));
+    directory.remove(ID, false, 0);
+
+    directory.apply(entry(false, 1, 5));
+
+    assertEquals(List.of(), directory.entries());
+  }
+
+  @Nested
+  @DisplayName("when an entry is removed")
+  class Removal {
+
+    @Test
+    @DisplayName("after an outage of the store, keeps the endpoint in use for the grace time")
+    void afterOutage() {
+      directory.apply(entry(false, 1, 1));
+      directory.remove(ID, true, 1_000);
+
+      assertTrue(isUsed(1_000 + GRACE_MS - 1));
+      assertFalse(isUsed(1_000 + GRACE_MS));
+    }
+
+    @Test
+    @DisplayName("after an outage, drops an endpoint that was draining at once")
+    void drainingAfterOutage() {
+      directory.apply(entry(true, 1, 1));
+      directory.remove(ID, true, 1_000);
+
+      assertFalse(isUsed(1_000));
+    }
+
+    @Test
+    @DisplayName("by a listing without it, stops using the endpoint")
+    void missingInListing() {
+      directory.apply(entry(false, 1, 1));
+
+      directory.applyListing(List.of(), false, 1_000);
+
+      assertFalse(isUsed(1_000));
+    }
+  }
+}
--- /dev/null
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointPickerTest.java
@@ -0,0 +1,110 @@
+package io.magnoliaroute.core.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.settings.HostPort;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that wait at a full, slow, cold or lost endpoint beside a better one. */
+@DisplayName("The choice of an endpoint")
+class EndpointPickerTest {
+
+  private static final int SLOTS = 4;
+
+  private final EndpointDirectory directory = new EndpointDirectory(0);
+  private final EndpointLoads loads = new EndpointLoads();
+  private final PrefixMemory prefixes = new PrefixMemory(16);
+  private final EndpointPicker picker =
+      new EndpointPicker(directory, loads, prefixes, new ServiceTimes(), "here");
+  private final EndpointEntry first = add("e1", "here");
+  private final EndpointEntry second = add("e2", "here");
+
+  private EndpointEntry add(String id, String dataCentre) {
+    EndpointEntry entry =
+        new EndpointEntry(
+            new EndpointId(id), "s", new HostPort("10.0.0.1", 80), dataCentre, SLOTS, false, 1, 1);
+    directory.apply(entry);
+    return entry;
+  }
+
+  private static CallSpec call(String requestId, CallSpec.PromptPart... prefix) {
+    return new CallSpec(
+        requestId,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        0,
+        0,
+        List.of(prefix),
+        Optional.empty());
+  }
+
+  private void assertAllGoTo(EndpointEntry expected, CallSpec.PromptPart... prefix) {
+    for (int i = 0; i < 50; i++) {
+      assertEquals(
+          Optional.of(expected), picker.pick("s", call("r" + i, prefix), Set.of(), 0), "call " + i);
+    }
+  }
+
+  @Test
+  @DisplayName("passes over an endpoint whose slots are taken")
+  void full() {
+    for (int i = 0; i < SLOTS + 1; i++) {
+      loads.opened(first.id());
+    }
+
+    assertAllGoTo(second);
+  }
+
+  @Test
+  @DisplayName("passes over an endpoint that reports a slow moment")
+  void slow() {
+    loads.reported(first.id(), new EndpointLoads.Report(0, 0, SLOTS, 2.5), 0);
+
+    assertAllGoTo(second);
+  }
+
+  @Test
+  @DisplayName("returns to an endpoint whose slow moment was reported long ago")
+  void slowLongAgo() {
+    loads.reported(
+        first.id(), new EndpointLoads.Report(0, 0, SLOTS, 2.5), -EndpointLoads.REPORT_LIFE_MS);
+    for (int i = 0; i < SLOTS + 1; i++) {
+      loads.opened(second.id());
+    }
+
+    assertAllGoTo(first);
+  }
+
+  @Test
+  @DisplayName("prefers the endpoint that has read the prompt's prefix")
+  void prefix() {
+    CallSpec.PromptPart part = new CallSpec.PromptPart("a", 12_600);
+    prefixes.read(List.of(part), second);
+
+    assertAllGoTo(second, part);
+  }
+
+  @Test
+  @DisplayName("avoids an endpoint that accepts no connection, but not when it is the last one")
+  void unreachable() {
+    loads.unreachable(first.id(), 0);
+    assertAllGoTo(second);
+
+    assertEquals(Optional.of(first), picker.pick("s", call("r"), Set.of(second.id()), 0));
+  }
+
+  @Test
+  @DisplayName("finds nothing when every endpoint has failed the request")
+  void allFailed() {
+    assertTrue(picker.pick("s", call("r"), Set.of(first.id(), second.id()), 0).isEmpty());
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -80,6 +80,28 @@
     partition.settle(program, reservedTokens, handedTokens, clock.millis());
   }
 
+  /** Returns what is known to be used of a program's budget. */
+  long used(String program) {
+    return partition.used(program);
+  }
+
+  /** Takes what another VM knows to be used. */
+  void told(String program, long usedTokens) {
+    partition.told(program, usedTokens, clock.millis());
+  }
+
+  /** Records what ran without a record once the store can be reached. */
+  void recordPending() {
+    if (leaving || health.isOut() || !partition.wantsRecord()) {
+      return;
+    }
+    if (partition.isLoaded()) {
+      append();
+    } else if (loading == null) {
+      loading = load().onComplete(done -> loading = null).onSuccess(loaded -> append());
+    }
+  }
+
   /** Gives back what was not spent; other holders take over. */
   Future<Void> release() {
     leaving = true;
@@ -100,7 +122,7 @@
     }
     Decision decision = partition.reserve(program, budgetTokens, turnTokens, clock.millis());
     if (decision == Decision.WAIT) {
-      if (health.isOut()) {
+      if (health.isOutOrSlow()) {
         promise.tryComplete(TurnBudgets.Verdict.UNABLE);
         return;
       }
@@ -125,12 +147,14 @@
       return;
     }
     AllowancePartition.Append append = next.get();
+    long beganMs = clock.millis();
     store
         .append(
             TOPIC,
             number,
             Optional.of(append.expectedEnd()),
             records(append.grants(), append.drops()))
+        .onComplete(done -> health.took(clock.millis() - beganMs))
         .onSuccess(
             end -> {
               partition.appended(append, end, clock.millis());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
@@ -8,23 +8,31 @@
 import io.magnoliaroute.wire.PeerMessage;
 import io.vertx.core.Future;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.IntFunction;
 
 /**
  * Finds the holder of a program's budget: the first VM in the order of rendezvous hashing that can
- * be reached and reaches the store. Used on one event loop.
+ * be reached and reaches the store. The first VM of each data centre in that order is told what is
+ * used, so that it can decide from memory when its data centre is cut off. Used on one event loop.
  */
 final class Allowances implements TurnBudgets {
 
-  /** VMs that are asked for one turn; after them the turn is decided without the store. */
-  private static final int MAX_CANDIDATES = 3;
+  /** VMs of this data centre that are asked after the first of all. */
+  private static final int NEAR_CANDIDATES = 2;
 
-  /** Longer than a holder waits for the store. */
-  private static final long ASK_MS = AllowanceHolder.WAIT_MS + 100;
+  /** Programs that spent their budget and are remembered; some hours of today's. */
+  private static final int MAX_EXHAUSTED = 10_000;
+
+  /** A holder answers in a few ms, unless it waits for the store. */
+  private static final long ASK_MS = AllowanceHolder.WAIT_MS + 50;
 
   private static final Verdict[] VERDICTS = Verdict.values();
 
@@ -36,6 +44,16 @@
   private final int partitions;
   private final DecisionLog log;
   private final GatewayMetrics metrics;
+  private final Set<String> exhausted =
+      Collections.newSetFromMap(
+          new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+              return size() > MAX_EXHAUSTED;
+            }
+          });
 
   Allowances(
       VmEntry self,
@@ -56,15 +74,27 @@
 
   @Override
   public Future<Reservation> reserve(String program, long budgetTokens, long turnTokens) {
-    List<VmEntry> candidates = candidates(program);
-    return reserveAt(candidates, 0, new Turn(program, budgetTokens, turnTokens), false)
+    Turn turn = new Turn(program, budgetTokens, turnTokens);
+    if (exhausted.contains(program)) {
+      return Future.succeededFuture(reservation(Verdict.EXHAUSTED, turn, self, budgetTokens));
+    }
+    return reserveAt(candidates(program), 0, turn, false)
         .onSuccess(reservation -> note(reservation, budgetTokens));
   }
 
+  /** Takes the news that a program has spent its budget. */
+  void exhausted(String program) {
+    exhausted.add(program);
+  }
+
   private record Turn(String program, long budgetTokens, long turnTokens) {}
 
   @Override
   public void settle(Reservation reservation, long handedTokens) {
+    long used = reservation.usedTokens() - reservation.reservedTokens() + handedTokens;
+    for (VmEntry each : firstOfEachDataCentre(reservation.program())) {
+      tellUsed(each, reservation.program(), used);
+    }
     if (reservation.holder().isPresent()) {
       peers.tell(
           reservation.holder().get(),
@@ -75,6 +105,21 @@
     }
   }
 
+  /** Takes what another VM knows to be used of a program's budget. */
+  void told(String program, long usedTokens) {
+    holder(program).told(program, usedTokens);
+  }
+
+  /** Returns what is known to be used of a program's budget. */
+  long usedHere(String program) {
+    return holder(program).used(program);
+  }
+
+  /** Records what ran without a record. */
+  void recordPending() {
+    holders.values().forEach(AllowanceHolder::recordPending);
+  }
+
   /** Decides on a turn as the holder of its program's budget. */
   Future<Verdict> reserveHere(String program, long budgetTokens, long turnTokens, boolean offline) {
     return holder(program).reserve(program, budgetTokens, turnTokens, offline);
@@ -93,22 +138,23 @@
       List<VmEntry> candidates, int next, Turn turn, boolean offline) {
     if (next >= candidates.size()) {
       return offline
-          ? Future.succeededFuture(reservation(Verdict.UNABLE, turn, self))
-          : reserveAt(candidates, 0, turn, true);
+          ? Future.succeededFuture(reservation(Verdict.UNABLE, turn, self, 0))
+          : reserveAt(near(turn.program()), 0, turn, true);
     }
     VmEntry candidate = candidates.get(next);
-    return verdictOf(candidate, turn, offline)
-        .recover(e -> Future.succeededFuture(Verdict.UNABLE))
+    return askCandidate(candidate, turn, offline)
+        .recover(e -> Future.succeededFuture(reservation(Verdict.UNABLE, turn, candidate, 0)))
         .compose(
-            verdict ->
-                verdict == Verdict.UNABLE
+            reservation ->
+                reservation.verdict() == Verdict.UNABLE
                     ? reserveAt(candidates, next + 1, turn, offline)
-                    : Future.succeededFuture(reservation(verdict, turn, candidate)));
+                    : Future.succeededFuture(reservation));
   }
 
-  private Future<Verdict> verdictOf(VmEntry candidate, Turn turn, boolean offline) {
+  private Future<Reservation> askCandidate(VmEntry candidate, Turn turn, boolean offline) {
     if (candidate.vm().equals(self.vm())) {
-      return reserveHere(turn.program(), turn.budgetTokens(), turn.turnTokens(), offline);
+      return reserveHere(turn.program(), turn.budgetTokens(), turn.turnTokens(), offline)
+          .map(verdict -> reservation(verdict, turn, self, usedHere(turn.program())));
     }
     long request = peers.nextRequest();
     return peers
@@ -118,7 +164,11 @@
             new PeerMessage.AllowanceAsk(
                 request, turn.program(), turn.budgetTokens(), turn.turnTokens(), offline),
             ASK_MS)
-        .map(reply -> verdict(((PeerMessage.AllowanceReply) reply).verdict()));
+        .map(
+            answer -> {
+              PeerMessage.AllowanceReply reply = (PeerMessage.AllowanceReply) answer;
+              return reservation(verdict(reply.verdict()), turn, candidate, reply.usedTokens());
+            });
   }
 
   private static Verdict verdict(String name) {
@@ -130,14 +180,21 @@
     return Verdict.UNABLE;
   }
 
-  private Reservation reservation(Verdict verdict, Turn turn, VmEntry holder) {
+  private Reservation reservation(Verdict verdict, Turn turn, VmEntry holder, long used) {
     Optional<HostPort> address =
         holder.vm().equals(self.vm()) ? Optional.empty() : Optional.of(holder.address());
-    return new Reservation(verdict, turn.program(), turn.turnTokens(), address);
+    return new Reservation(verdict, turn.program(), turn.turnTokens(), used, address);
   }
 
   private void note(Reservation reservation, long budgetTokens) {
     metrics.allowance(reservation.verdict().name());
+    if (reservation.verdict() == Verdict.EXHAUSTED && exhausted.add(reservation.program())) {
+      for (VmEntry each : roster.all()) {
+        if (!each.vm().equals(self.vm())) {
+          peers.tell(each.address(), new PeerMessage.ProgramExhausted(reservation.program()));
+        }
+      }
+    }
     if (reservation.verdict() != Verdict.GRANTED) {
       log.line("turn_not_granted")
           .put("program", reservation.program())
@@ -149,7 +206,45 @@
     }
   }
 
+  private void tellUsed(VmEntry vm, String program, long used) {
+    if (vm.vm().equals(self.vm())) {
+      told(program, used);
+    } else {
+      peers.tell(vm.address(), new PeerMessage.AllowanceNote(program, used));
+    }
+  }
+
+  /** Returns the first VM of all, then the first ones of this data centre. */
   private List<VmEntry> candidates(String program) {
+    List<VmEntry> candidates = new ArrayList<>();
+    candidates.add(ranked(program).get(0));
+    for (VmEntry each : near(program)) {
+      if (!candidates.contains(each)) {
+        candidates.add(each);
+      }
+    }
+    return candidates;
+  }
+
+  private List<VmEntry> near(String program) {
+    List<VmEntry> near = new ArrayList<>();
+    for (VmEntry each : ranked(program)) {
+      if (each.dataCentre().equals(self.dataCentre()) && near.size() < NEAR_CANDIDATES) {
+        near.add(each);
+      }
+    }
+    return near;
+  }
+
+  private Collection<VmEntry> firstOfEachDataCentre(String program) {
+    Map<String, VmEntry> first = new LinkedHashMap<>();
+    for (VmEntry each : ranked(program)) {
+      first.putIfAbsent(each.dataCentre(), each);
+    }
+    return first.values();
+  }
+
+  private List<VmEntry> ranked(String program) {
     Map<VmId, VmEntry> live = new HashMap<>();
     for (VmEntry vm : roster.all()) {
       if (!peers.isSuspect(vm.address())) {
@@ -157,13 +252,11 @@
       }
     }
     live.put(self.vm(), self);
-    List<VmEntry> candidates = new ArrayList<>();
+    List<VmEntry> ranked = new ArrayList<>();
     for (VmId vm : Rendezvous.ranked(Rendezvous.allowanceKey(partition(program)), live.keySet())) {
-      if (candidates.size() < MAX_CANDIDATES) {
-        candidates.add(live.get(vm));
-      }
+      ranked.add(live.get(vm));
     }
-    return candidates;
+    return ranked;
   }
 
   private AllowanceHolder holder(String program) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -58,6 +58,9 @@
   private final FrontServer front;
   private boolean stopping;
   private boolean announcedReady;
+  private int clientPort;
+  private int readyPort;
+  private int peerPort;
 
   /** Joins the parts of a VM; nothing listens yet. */
   public GatewayNode(
@@ -75,7 +78,7 @@
             settings.vm(),
             settings.peerListen().orElse(settings.clientListen()),
             settings.dataCentre());
-    this.roster = new VmRoster(self, store, log);
+    this.roster = new VmRoster(self, store, clock, log);
     this.peers = new Peers(vertx, clock, log, metrics);
     String holder = settings.vm().value() + "/" + random.nextLong(Long.MAX_VALUE);
     this.allowances =
@@ -157,16 +160,24 @@
         HOUSEKEEPING_MS,
         timer -> {
           gateway.connections().closeExpired();
+          allowances.recordPending();
+          if (beliefs.isComplete()) {
+            roster.register();
+          }
           front.closeExpired();
         });
     ReadyServer ready = new ReadyServer(vertx, this::isReady, metrics);
     Future<?> peering =
         settings.peerListen().isPresent()
-            ? peers.listen(settings.peerListen().get(), desk)
+            ? peers
+                .listen(settings.peerListen().get(), desk)
+                .onSuccess(listening -> peerPort = listening.actualPort())
             : Future.succeededFuture();
     return peering
         .compose(listening -> front.listen(settings.clientListen()))
+        .onSuccess(listening -> clientPort = listening.actualPort())
         .compose(listening -> ready.listen(settings.readyListen()))
+        .onSuccess(listening -> readyPort = listening.actualPort())
         .mapEmpty();
   }
 
@@ -206,7 +217,7 @@
         });
   }
 
-  private boolean isReady() {
+  boolean isReady() {
     boolean ready = !stopping && beliefs.isComplete();
     if (ready && !announcedReady) {
       announcedReady = true;
@@ -215,6 +226,22 @@
     return ready;
   }
 
+  int clientPort() {
+    return clientPort;
+  }
+
+  int readyPort() {
+    return readyPort;
+  }
+
+  int peerPort() {
+    return peerPort;
+  }
+
+  int usableEndpoints(String service) {
+    return beliefs.endpoints().usable(service, clock.millis()).size();
+  }
+
   private void tail(String topic, StoreTail.Pace pace, StoreTail.Reader reader) {
     new StoreTail(vertx, store, storeHealth, random, topic, pace, reader).start();
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
@@ -91,7 +91,11 @@
           .map(
               verdict ->
                   new PeerMessage.AllowanceReply(
-                      ask.request(), ask.program(), ask.turnTokens(), verdict.name()));
+                      ask.request(),
+                      ask.program(),
+                      ask.turnTokens(),
+                      verdict.name(),
+                      allowances.usedHere(ask.program())));
     }
     PeerMessage.BeliefsAsk ask = (PeerMessage.BeliefsAsk) request;
     return Future.succeededFuture(describe(ask));
@@ -101,6 +105,10 @@
   public void told(PeerMessage news) {
     if (news instanceof PeerMessage.AllowanceSettle settle) {
       allowances.settleHere(settle.program(), settle.reservedTokens(), settle.handedTokens());
+    } else if (news instanceof PeerMessage.AllowanceNote note) {
+      allowances.told(note.program(), note.usedTokens());
+    } else if (news instanceof PeerMessage.ProgramExhausted spent) {
+      allowances.exhausted(spent.program());
     } else if (news instanceof PeerMessage.RequestCrashed crashed) {
       crashes.note(new Fingerprint(crashed.fingerprint()), new EndpointId(crashed.endpoint()));
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
@@ -8,12 +8,19 @@
   /** Failures for longer than this are an outage; shorter ones are single lost answers. */
   private static final long OUTAGE_AFTER_MS = 400;
 
+  /** A call that took this long shows a slowed store; the usual answer takes a few ms. */
+  private static final long SLOW_MS = 100;
+
+  /** How long a slow call counts; pending records are tried more often than this. */
+  private static final long SLOW_LIFE_MS = 1_000;
+
   private final InstantSource clock;
   private final DecisionLog log;
   private long lastOkMs;
   private long failingSinceMs = Long.MAX_VALUE;
   private long outageEndedMs = Long.MIN_VALUE / 2;
   private boolean announced;
+  private long slowSeenMs = Long.MIN_VALUE / 2;
 
   StoreHealth(InstantSource clock, DecisionLog log) {
     this.clock = clock;
@@ -49,6 +56,16 @@
     }
   }
 
+  /** Takes the time of a call that the store did not hold on purpose. */
+  void took(long elapsedMs) {
+    slowSeenMs = elapsedMs >= SLOW_MS ? clock.millis() : Long.MIN_VALUE / 2;
+  }
+
+  /** Returns whether turns should not wait for the store now. */
+  boolean isOutOrSlow() {
+    return isOut() || clock.millis() - slowSeenMs < SLOW_LIFE_MS;
+  }
+
   /** Returns whether the store is away now. */
   boolean isOut() {
     return failingSinceMs != Long.MAX_VALUE && clock.millis() - failingSinceMs >= OUTAGE_AFTER_MS;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
@@ -23,10 +23,15 @@
    * @param verdict whether the turn may run
    * @param program the program
    * @param reservedTokens the tokens set aside
+   * @param usedTokens what the holder knows to be used of the budget, this turn included
    * @param holder the VM that has set them aside; absent where it is this one
    */
   record Reservation(
-      Verdict verdict, String program, long reservedTokens, Optional<HostPort> holder) {}
+      Verdict verdict,
+      String program,
+      long reservedTokens,
+      long usedTokens,
+      Optional<HostPort> holder) {}
 
   /** Sets the most that a turn may generate aside. */
   Future<Reservation> reserve(String program, long budgetTokens, long turnTokens);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmRoster.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmRoster.java
@@ -6,6 +6,7 @@
 import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.platform.StoreClient;
 import io.magnoliaroute.platform.StoreRecord;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -19,15 +20,21 @@
   /** The topic of the VMs' entries. */
   static final String TOPIC = StoreClient.KEYED_PREFIX + "vms";
 
+  /** Bounds the writes of a VM whose entry another writer keeps changing. */
+  private static final long MIN_WRITE_PAUSE_MS = 1_000;
+
   private final VmEntry self;
   private final StoreClient store;
+  private final InstantSource clock;
   private final DecisionLog log;
   private final Map<VmId, VmEntry> vms = new HashMap<>();
-  private boolean writing;
+  private boolean registered;
+  private long writtenAtMs = Long.MIN_VALUE / 2;
   private boolean leaving;
 
-  VmRoster(VmEntry self, StoreClient store, DecisionLog log) {
+  VmRoster(VmEntry self, StoreClient store, InstantSource clock, DecisionLog log) {
     this.self = self;
+    this.clock = clock;
     this.store = store;
     this.log = log;
     vms.put(self.vm(), self);
@@ -67,17 +74,16 @@
       found |= entry.isPresent() && entry.get().equals(self);
     }
     vms.keySet().removeIf(vm -> !listed.contains(vm) && !vm.equals(self.vm()));
-    if (!found) {
-      register();
-    }
+    registered = found;
+    register();
   }
 
   @Override
   public void records(StoreClient.Page page) {
     for (StoreRecord record : page.records()) {
       Optional<VmEntry> entry = apply(record);
-      if (record.key().equals(self.vm().value())
-          && (entry.isEmpty() || !entry.get().equals(self))) {
+      if (record.key().equals(self.vm().value())) {
+        registered = entry.isPresent() && entry.get().equals(self);
         register();
       }
     }
@@ -106,17 +112,16 @@
     }
   }
 
-  private void register() {
-    if (writing || leaving) {
+  /** Writes this VM's entry if it is missing or wrong. */
+  void register() {
+    if (registered || leaving || clock.millis() - writtenAtMs < MIN_WRITE_PAUSE_MS) {
       return;
     }
-    writing = true;
-    store
-        .append(
-            TOPIC,
-            0,
-            Optional.empty(),
-            List.of(new StoreClient.KeyValue(self.vm().value(), self.encode())))
-        .onComplete(done -> writing = false);
+    writtenAtMs = clock.millis();
+    store.append(
+        TOPIC,
+        0,
+        Optional.empty(),
+        List.of(new StoreClient.KeyValue(self.vm().value(), self.encode())));
   }
 }
--- /dev/null
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -0,0 +1,233 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.model.VmId;
+import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.daemon.lifecycle.SteadyClock;
+import io.magnoliaroute.daemon.support.Await;
+import io.magnoliaroute.platform.BootSettings;
+import io.magnoliaroute.standin.users.StandInEndpoint;
+import io.magnoliaroute.standin.users.StandInStore;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+/** A VM, the platform's store and two endpoints in one process. */
+final class GatewayWorld {
+
+  private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
+  private static final SplittableRandom SEEDS = new SplittableRandom(7);
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpClient client = vertx.createHttpClient();
+  private final StandInStore store = new StandInStore(vertx);
+  private final StandInEndpoint first = new StandInEndpoint(vertx, "e1");
+  private final StandInEndpoint second = new StandInEndpoint(vertx, "e2");
+  private final int storePort;
+  private final Vertx secondRuntime = Vertx.vertx();
+  private Vertx vmRuntime = Vertx.vertx();
+  private GatewayNode vm;
+  private GatewayNode secondVm;
+  private int requests;
+
+  /** What a client got. */
+  record Answer(int status, MultiMap headers, String body) {}
+
+  GatewayWorld() {
+    storePort = Await.result(store.start());
+    Await.result(first.start());
+    Await.result(second.start());
+    publish(3, "/other/");
+    store.put("keyed.servers", "e1", first.entry("s", "ready", 1));
+    store.put("keyed.servers", "e2", second.entry("s", "ready", 1));
+    vm = startVm(vmRuntime, storePort, "vm-1", List.of());
+    Await.until("the VM is ready", () -> ready() == 200);
+  }
+
+  StandInStore store() {
+    return store;
+  }
+
+  StandInEndpoint first() {
+    return first;
+  }
+
+  StandInEndpoint second() {
+    return second;
+  }
+
+  List<String> allRan() {
+    List<String> all = new ArrayList<>(first.ran());
+    all.addAll(second.ran());
+    return all;
+  }
+
+  List<String> allDeadlines() {
+    List<String> all = new ArrayList<>(first.deadlines());
+    all.addAll(second.deadlines());
+    return all;
+  }
+
+  void bothThen(StandInEndpoint.Behaviour behaviour) {
+    first.then(behaviour);
+    second.then(behaviour);
+  }
+
+  void publish(long version, String extraPrefix) {
+    String routes =
+        route("safe", "/safe/", "safe", 2_000, 1, false)
+            + ","
+            + route("extra", extraPrefix, "safe", 2_000, 1, false)
+            + ","
+            + route("brief", "/brief/", "safe", 200, 1, false)
+            + ","
+            + route("unsafe", "/unsafe/", "unsafe", 2_000, 1, false)
+            + ","
+            + route("stream", "/stream/", "stream", 4_000, 1, true)
+            + ","
+            + route("plainstream", "/plainstream/", "stream", 4_000, 1, false);
+    store.put(
+        "keyed.op",
+        "config",
+        "{\"version\":%d,\"routes\":[%s],".formatted(version, routes)
+            + "\"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_conns\":64,"
+            + "\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]}");
+  }
+
+  private static String route(
+      String name, String prefix, String kind, int timeoutMs, int attempts, boolean resume) {
+    return ("{\"name\":\"%s\",\"host\":\"h\",\"path_prefix\":\"%s\",\"kind\":\"%s\","
+            + "\"timeout_ms\":%d,\"service\":\"s\",\"attempts\":%d,\"can_resume\":%b}")
+        .formatted(name, prefix, kind, timeoutMs, attempts, resume);
+  }
+
+  void drainFirst() {
+    store.put("keyed.servers", "e1", first.entry("s", "draining", 2));
+    awaitUsable(1);
+  }
+
+  void removeEndpoints() {
+    store.put("keyed.servers", "e1", "");
+    store.put("keyed.servers", "e2", "");
+    awaitUsable(0);
+  }
+
+  private void awaitUsable(int count) {
+    Await.until("endpoints are known", () -> vm.usableEndpoints("s") == count);
+  }
+
+  Answer call(String method, String path, Map<String, String> headers) {
+    Map<String, String> all = new HashMap<>(headers);
+    all.putIfAbsent("X-Request-Id", String.valueOf(++requests));
+    all.put("Host", "h");
+    return Await.result(send(vm.clientPort(), HttpMethod.valueOf(method), path, all));
+  }
+
+  Answer turn(String program, long budget, long most) {
+    return call(
+        "POST",
+        "/stream/x",
+        Map.of(
+            "X-Program-Id",
+            program,
+            "X-Session-Id",
+            "s1",
+            "X-Token-Budget",
+            String.valueOf(budget),
+            "X-Token-Usage",
+            "10," + most));
+  }
+
+  int ready() {
+    return status(vm.readyPort());
+  }
+
+  int secondReady() {
+    return status(secondVm.readyPort());
+  }
+
+  private int status(int port) {
+    return Await.result(send(port, HttpMethod.GET, "/-/ready", Map.of())).status();
+  }
+
+  void restartVm() {
+    Await.result(vmRuntime.close());
+    vmRuntime = Vertx.vertx();
+    vm = startVm(vmRuntime, storePort, "vm-1", List.of());
+  }
+
+  void startSecondVm() {
+    secondVm =
+        startVm(
+            secondRuntime, storePort, "vm-2", List.of(new HostPort("127.0.0.1", vm.peerPort())));
+  }
+
+  void beginStop() {
+    vm.stop();
+  }
+
+  private static GatewayNode startVm(
+      Vertx runtime, int storePort, String name, List<HostPort> seeds) {
+    BootSettings settings =
+        new BootSettings(
+            new VmId(name),
+            "dc",
+            ANY_PORT,
+            ANY_PORT,
+            Optional.of(ANY_PORT),
+            seeds,
+            new HostPort("127.0.0.1", storePort),
+            2,
+            true,
+            8_000);
+    InstantSource clock = new SteadyClock(InstantSource.system(), System::nanoTime);
+    GatewayNode node =
+        Await.result(
+            onContext(runtime, () -> new GatewayNode(runtime, settings, clock, SEEDS.split())));
+    Await.result(onContext(runtime, node::start).compose(started -> started));
+    return node;
+  }
+
+  private static <T> Future<T> onContext(Vertx runtime, Supplier<T> step) {
+    Promise<T> promise = Promise.promise();
+    runtime.getOrCreateContext().runOnContext(run -> promise.complete(step.get()));
+    return promise.future();
+  }
+
+  private Future<Answer> send(
+      int port, HttpMethod method, String path, Map<String, String> headers) {
+    return client
+        .request(
+            new RequestOptions().setHost("127.0.0.1").setPort(port).setMethod(method).setURI(path))
+        .compose(
+            request -> {
+              headers.forEach(request::putHeader);
+              return request.send();
+            })
+        .compose(
+            response ->
+                response
+                    .body()
+                    .map(
+                        body ->
+                            new Answer(
+                                response.statusCode(), response.headers(), body.toString())));
+  }
+
+  void close() {
+    Await.result(vmRuntime.close());
+    Await.result(secondRuntime.close());
+    Await.result(vertx.close());
+  }
+}
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
@@ -34,7 +34,9 @@
   ALLOWANCE_SETTLE(42, PeerMessage.AllowanceSettle.class),
   REQUEST_CRASHED(43, PeerMessage.RequestCrashed.class),
   BELIEFS_ASK(44, PeerMessage.BeliefsAsk.class),
-  BELIEFS_REPLY(45, PeerMessage.BeliefsReply.class);
+  BELIEFS_REPLY(45, PeerMessage.BeliefsReply.class),
+  ALLOWANCE_NOTE(46, PeerMessage.AllowanceNote.class),
+  PROGRAM_EXHAUSTED(47, PeerMessage.ProgramExhausted.class);
 
   private static final Map<Integer, MessageType> BY_NUMBER =
       Stream.of(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -137,10 +137,25 @@
       long request, String program, long budgetTokens, long turnTokens, boolean offline)
       implements PeerMessage {}
 
-  /** Answers {@link AllowanceAsk}; the verdict is the name of one of the holder's verdicts. */
-  record AllowanceReply(long request, String program, long turnTokens, String verdict)
+  /**
+   * Answers {@link AllowanceAsk}.
+   *
+   * @param request the request that is answered
+   * @param program the program
+   * @param turnTokens the most that the turn generates
+   * @param verdict the name of one of the holder's verdicts
+   * @param usedTokens what the holder knows to be used, running turns at their most
+   */
+  record AllowanceReply(
+      long request, String program, long turnTokens, String verdict, long usedTokens)
       implements PeerMessage {}
 
+  /** Tells a VM that may become the holder what is used of a program's budget. */
+  record AllowanceNote(String program, long usedTokens) implements PeerMessage {}
+
+  /** Tells that the budget of a program does not hold another turn. */
+  record ProgramExhausted(String program) implements PeerMessage {}
+
   /** Gives back what a turn has not handed out. */
   record AllowanceSettle(String program, long reservedTokens, long handedTokens)
       implements PeerMessage {}
