Probe lost endpoints apart from requests, and start from a class archive

Cause: each VM found a lost endpoint by requests that waited for a connection, again and again; a restarted JVM took 1.2 s on one core to listen. Change: a lost endpoint gets no requests until a probe succeeds; one loss makes a VM probe the others of that data centre and the other VMs probe the endpoint; an endpoint whose address another one answers at is dropped until a newer entry; when all entries of a service vanish at once they stay usable for 1.2 s. The build makes a class archive.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointDirectory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointDirectory.java
@@ -19,6 +19,9 @@
  */
 public final class EndpointDirectory {
 
+  /** Well inside the time after which a removed endpoint must get nothing. */
+  static final long LAST_RESORT_MS = 1_200;
+
   private final long returnGraceMs;
   private final Map<EndpointId, Known> known = new HashMap<>();
   private long revision;
@@ -27,6 +30,7 @@
     private EndpointEntry entry;
     private boolean removed;
     private long usableUntilMs = Long.MAX_VALUE;
+    private long lastResortUntilMs;
   }
 
   /**
@@ -74,10 +78,24 @@
     held.removed = true;
     held.usableUntilMs =
         afterOutage && !held.entry.draining() ? nowMs + returnGraceMs : Long.MIN_VALUE;
+    held.lastResortUntilMs = nowMs + LAST_RESORT_MS;
     revision++;
     return true;
   }
 
+  /**
+   * Takes the news that another endpoint answers at the address of this entry. A newer entry brings
+   * the endpoint back.
+   */
+  public void displaced(EndpointEntry entry) {
+    Known held = known.get(entry.id());
+    if (held != null && !held.entry.isNewerThan(entry)) {
+      held.removed = true;
+      held.usableUntilMs = Long.MIN_VALUE;
+      revision++;
+    }
+  }
+
   /** Takes a whole listing: entries that are not in it have been removed. */
   public void applyListing(Collection<EndpointEntry> listing, boolean afterOutage, long nowMs) {
     Set<EndpointId> listed = new HashSet<>();
@@ -92,15 +110,24 @@
     }
   }
 
-  /** Returns the endpoints of a service that may get new requests. */
+  /**
+   * Returns the endpoints of a service that may get new requests. When all entries of a service
+   * have just been removed, their endpoints stay usable for a moment: so many do not leave at once.
+   */
   public List<EndpointEntry> usable(String service, long nowMs) {
     List<EndpointEntry> result = new ArrayList<>();
+    List<EndpointEntry> justRemoved = new ArrayList<>();
     for (Known held : known.values()) {
-      if (held.entry.service().equals(service) && isUsable(held, nowMs)) {
+      if (!held.entry.service().equals(service)) {
+        continue;
+      }
+      if (isUsable(held, nowMs)) {
         result.add(held.entry);
+      } else if (held.removed && !held.entry.draining() && nowMs < held.lastResortUntilMs) {
+        justRemoved.add(held.entry);
       }
     }
-    return result;
+    return result.isEmpty() ? justRemoved : result;
   }
 
   /** Returns whether this start of the endpoint may get new requests. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointLoads.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointLoads.java
@@ -13,11 +13,11 @@
   /** A report of other VMs' requests is believed less and less until it is this old. */
   static final long REPORT_LIFE_MS = 1_000;
 
-  /** The first time for which an endpoint that refused a connection is avoided. */
-  static final long FIRST_AVOID_MS = 250;
+  /** The first pause before a lost endpoint is probed; later pauses grow. */
+  static final long FIRST_PROBE_MS = 250;
 
-  /** The longest time for which an endpoint is avoided without another try. */
-  static final long MAX_AVOID_MS = 2_000;
+  /** The longest pause before a lost endpoint is probed. */
+  static final long MAX_PROBE_MS = 1_000;
 
   private static final double NORMAL_PACE = 1.0;
   private static final int MAX_DOUBLINGS = 3;
@@ -30,7 +30,8 @@
     private double pace = NORMAL_PACE;
     private long reportedAtMs = Long.MIN_VALUE / 2;
     private int failures;
-    private long avoidUntilMs = Long.MIN_VALUE;
+    private boolean lost;
+    private long probeAtMs;
     private long fullUntilMs = Long.MIN_VALUE;
   }
 
@@ -67,15 +68,27 @@
   public void answered(EndpointId endpoint) {
     Load load = load(endpoint);
     load.failures = 0;
-    load.avoidUntilMs = Long.MIN_VALUE;
+    load.lost = false;
   }
 
-  /** Notes that the endpoint accepts no connection; it is avoided for a growing time. */
-  public void unreachable(EndpointId endpoint, long nowMs) {
+  /**
+   * Notes that the endpoint accepts no connection: it gets no requests until a probe succeeds.
+   * Returns whether that is news.
+   */
+  public boolean lost(EndpointId endpoint, long nowMs) {
     Load load = load(endpoint);
-    long avoidMs = FIRST_AVOID_MS << Math.min(load.failures, MAX_DOUBLINGS);
+    boolean news = !load.lost;
+    long pauseMs = FIRST_PROBE_MS << Math.min(load.failures, MAX_DOUBLINGS);
     load.failures++;
-    load.avoidUntilMs = nowMs + Math.min(MAX_AVOID_MS, avoidMs);
+    load.lost = true;
+    load.probeAtMs = nowMs + Math.min(MAX_PROBE_MS, pauseMs);
+    return news;
+  }
+
+  /** Returns whether the endpoint is lost and has to be probed now. */
+  public boolean isProbeDue(EndpointId endpoint, long nowMs) {
+    Load load = load(endpoint);
+    return load.lost && nowMs >= load.probeAtMs;
   }
 
   /** Notes that the endpoint refused a request because it is full. */
@@ -84,8 +97,8 @@
   }
 
   /** Returns whether the endpoint should get no request now. */
-  public boolean isAvoided(EndpointId endpoint, long nowMs) {
-    return nowMs < load(endpoint).avoidUntilMs;
+  public boolean isLost(EndpointId endpoint) {
+    return load(endpoint).lost;
   }
 
   /** Returns whether the endpoint refused a request lately because it is full. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointPicker.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointPicker.java
@@ -11,8 +11,8 @@
  *
  * <p>Load that this answers: demand peaks that fill single endpoints, endpoints that are slow for
  * moments, endpoints that do not hold a prompt's prefix, and endpoints that were lost before the
- * platform's list says so. A service is never left without an endpoint: when all are avoided, they
- * are all tried.
+ * platform's list says so. A service is never left without an endpoint: when all are lost, they are
+ * all tried.
  */
 public final class EndpointPicker {
 
@@ -73,7 +73,7 @@
     EndpointEntry best = null;
     double bestMs = Double.MAX_VALUE;
     for (EndpointEntry endpoint : usable) {
-      if (avoided.contains(endpoint.id()) || (soundOnly && loads.isAvoided(endpoint.id(), nowMs))) {
+      if (avoided.contains(endpoint.id()) || (soundOnly && loads.isLost(endpoint.id()))) {
         continue;
       }
       double costMs = costMs(endpoint, service, call, nowMs);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
@@ -59,7 +59,11 @@
         return;
       }
       System.setProperty("logback.configurationFile", "logback-platform.xml");
-      PlatformMain.run();
+      if (command.loadClasses) {
+        PlatformMain.loadClasses();
+      } else {
+        PlatformMain.run();
+      }
       return;
     }
     if (command.standalone == (command.settingsFile != null)) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnections.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnections.java
@@ -21,7 +21,7 @@
 final class EndpointConnections {
 
   /** Several times the way to any data centre of a region; a sound endpoint accepts sooner. */
-  static final int CONNECT_TIMEOUT_MS = 300;
+  static final int CONNECT_TIMEOUT_MS = 250;
 
   /** Used where an endpoint does not say how long it keeps idle connections. */
   private static final long DEFAULT_IDLE_MS = 4_000;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -190,6 +190,9 @@
     if (result == SendResult.REFUSED_FULL) {
       gateway.loads().full(endpoint.id(), now() + OFFER_AGAIN_MS);
     }
+    if (result == SendResult.REFUSED_GONE) {
+      gateway.beliefs().endpoints().displaced(endpoint);
+    }
     if (result.mayHaveRun()) {
       lastBroken = endpoint;
     }
@@ -307,7 +310,7 @@
   private void notConnected(EndpointEntry endpoint, Throwable cause) {
     boolean shareUsed = cause instanceof EndpointConnections.NoConnectionLeftException;
     if (!shareUsed) {
-      gateway.loads().unreachable(endpoint.id(), now());
+      gateway.reachability().lost(endpoint, String.valueOf(cause.getMessage()));
       if (endpoint.equals(lastBroken)) {
         blame(endpoint);
       }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Gateway.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Gateway.java
@@ -20,6 +20,7 @@
  * @param times how long services work
  * @param picker places requests
  * @param connections the connections to endpoints
+ * @param reachability which endpoints accept connections
  * @param watchdog finds endpoints that fell silent
  * @param budgets the token budgets of programs
  * @param crashes requests that crash endpoints
@@ -36,6 +37,7 @@
     ServiceTimes times,
     EndpointPicker picker,
     EndpointConnections connections,
+    Reachability reachability,
     Watchdog watchdog,
     TurnBudgets budgets,
     CrashGuard crashes,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -3,7 +3,6 @@
 import io.magnoliaroute.core.gateway.EndpointLoads;
 import io.magnoliaroute.core.gateway.EndpointPicker;
 import io.magnoliaroute.core.gateway.PrefixMemory;
-import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.gateway.ServiceTimes;
 import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.platform.BootSettings;
@@ -91,36 +90,41 @@
             log,
             metrics);
     CrashGuard crashes = new CrashGuard(clock, log);
+    EndpointLoads loads = new EndpointLoads();
+    EndpointConnections connections =
+        new EndpointConnections(
+            vertx, clock, accepted -> Math.max(MIN_CONNECTIONS, accepted / roster.size()));
+    Reachability reachability = new Reachability(beliefs, loads, connections, clock, log);
     this.desk =
         new PeerDesk(
             peers,
             new PeerDesk.Parts(
-                self, roster, settings.seeds(), beliefs, follower, allowances, crashes),
+                self,
+                roster,
+                settings.seeds(),
+                beliefs,
+                follower,
+                allowances,
+                crashes,
+                reachability),
             random);
     crashes.announceTo(desk::announceCrash);
-    this.gateway = join(crashes);
+    reachability.announceTo(desk::announceLost);
+    this.gateway = join(loads, connections, reachability, crashes);
     this.front = new FrontServer(gateway);
   }
 
-  private Gateway join(CrashGuard crashes) {
-    EndpointLoads loads = new EndpointLoads();
+  private Gateway join(
+      EndpointLoads loads,
+      EndpointConnections connections,
+      Reachability reachability,
+      CrashGuard crashes) {
     PrefixMemory prefixes = new PrefixMemory(PREFIX_PARTS);
     ServiceTimes times = new ServiceTimes();
     EndpointPicker picker =
         new EndpointPicker(beliefs.endpoints(), loads, prefixes, times, settings.dataCentre());
-    Watchdog watchdog = new Watchdog(clock, loads, log);
-    EndpointConnections connections =
-        new EndpointConnections(
-            vertx, clock, accepted -> Math.max(MIN_CONNECTIONS, accepted / roster.size()));
-    watchdog.probeWith(
-        endpoint ->
-            connections.probe(
-                endpoint,
-                beliefs
-                    .table()
-                    .flatMap(table -> table.service(endpoint.service()))
-                    .map(ServiceSpec::maxConnections)
-                    .orElse(1)));
+    Watchdog watchdog = new Watchdog(clock, log);
+    watchdog.probeWith(reachability::probe);
     return new Gateway(
         vertx,
         clock,
@@ -131,6 +135,7 @@
         times,
         picker,
         connections,
+        reachability,
         watchdog,
         allowances,
         crashes,
@@ -155,7 +160,12 @@
             desk.askForBeliefs();
           }
         });
-    vertx.setPeriodic(Watchdog.CHECK_MS, timer -> gateway.watchdog().check());
+    vertx.setPeriodic(
+        Watchdog.CHECK_MS,
+        timer -> {
+          gateway.watchdog().check();
+          gateway.reachability().probeLost();
+        });
     vertx.setPeriodic(
         HOUSEKEEPING_MS,
         timer -> {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
@@ -26,6 +26,7 @@
   private final BeliefFollower follower;
   private final Allowances allowances;
   private final CrashGuard crashes;
+  private final Reachability reachability;
   private final RandomGenerator random;
 
   /** The parts that messages concern. */
@@ -36,7 +37,8 @@
       Beliefs beliefs,
       BeliefFollower follower,
       Allowances allowances,
-      CrashGuard crashes) {}
+      CrashGuard crashes,
+      Reachability reachability) {}
 
   PeerDesk(Peers peers, Parts parts, RandomGenerator random) {
     this.peers = peers;
@@ -47,14 +49,24 @@
     this.follower = parts.follower();
     this.allowances = parts.allowances();
     this.crashes = parts.crashes();
+    this.reachability = parts.reachability();
     this.random = random;
   }
 
   /** Tells all VMs of a request that crashed an endpoint. */
   void announceCrash(Fingerprint request, EndpointId endpoint) {
+    tellAll(new PeerMessage.RequestCrashed(request.value(), endpoint.value()));
+  }
+
+  /** Tells all VMs of an endpoint that accepts no connection from this one. */
+  void announceLost(EndpointId endpoint) {
+    tellAll(new PeerMessage.EndpointLost(endpoint.value()));
+  }
+
+  private void tellAll(PeerMessage news) {
     for (VmEntry vm : roster.all()) {
-      if (!vm.vm().equals(self.vm())) {
-        peers.tell(vm.address(), new PeerMessage.RequestCrashed(request.value(), endpoint.value()));
+      if (!vm.vm().equals(self.vm()) && !peers.isSuspect(vm.address())) {
+        peers.tell(vm.address(), news);
       }
     }
   }
@@ -109,6 +121,8 @@
       allowances.told(note.program(), note.usedTokens());
     } else if (news instanceof PeerMessage.ProgramExhausted spent) {
       allowances.exhausted(spent.program());
+    } else if (news instanceof PeerMessage.EndpointLost lost) {
+      reachability.lostElsewhere(new EndpointId(lost.endpoint()));
     } else if (news instanceof PeerMessage.RequestCrashed crashed) {
       crashes.note(new Fingerprint(crashed.fingerprint()), new EndpointId(crashed.endpoint()));
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PlatformMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PlatformMain.java
@@ -30,19 +30,27 @@
 
   private PlatformMain() {}
 
+  /** Loads the classes that serving needs and ends the process. */
+  public static void loadClasses() {
+    ClassLoading.run(runtime());
+  }
+
+  private static Vertx runtime() {
+    return Vertx.vertx(
+        new VertxOptions()
+            .setEventLoopPoolSize(1)
+            .setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1)
+            .setFileSystemOptions(
+                new FileSystemOptions()
+                    .setClassPathResolvingEnabled(false)
+                    .setFileCachingEnabled(false)));
+  }
+
   /** Starts the VM; the process ends with code 3 where its settings cannot be read. */
   public static void run() {
     BootSettings settings = read();
-    Vertx vertx =
-        Vertx.vertx(
-            new VertxOptions()
-                .setEventLoopPoolSize(1)
-                .setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1)
-                .setFileSystemOptions(
-                    new FileSystemOptions()
-                        .setClassPathResolvingEnabled(false)
-                        .setFileCachingEnabled(false)));
+    Vertx vertx = runtime();
     InstantSource clock = new SteadyClock(InstantSource.system(), System::nanoTime);
     SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
     vertx.runOnContext(
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -1,7 +1,6 @@
 package io.magnoliaroute.daemon.gateway;
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
-import io.magnoliaroute.core.gateway.EndpointLoads;
 import io.magnoliaroute.core.gateway.SendResult;
 import io.magnoliaroute.core.model.EndpointId;
 import java.time.InstantSource;
@@ -23,7 +22,7 @@
   static final long CHECK_MS = 100;
 
   /** Silence after which an endpoint is asked; a few times the usual pause between events. */
-  static final long SILENCE_MS = 300;
+  static final long SILENCE_MS = 250;
 
   /** Silence of one connection to a living endpoint after which the connection is given up. */
   static final long DEAD_CONNECTION_MS = 1_300;
@@ -32,7 +31,6 @@
   private static final long OWN_PAUSE_MS = 250;
 
   private final InstantSource clock;
-  private final EndpointLoads loads;
   private final DecisionLog log;
   private final Set<Send> sends = new LinkedHashSet<>();
   private final Map<EndpointId, Long> heardAtMs = new HashMap<>();
@@ -48,9 +46,8 @@
     io.vertx.core.Future<Boolean> probe(EndpointEntry endpoint);
   }
 
-  Watchdog(InstantSource clock, EndpointLoads loads, DecisionLog log) {
+  Watchdog(InstantSource clock, DecisionLog log) {
     this.clock = clock;
-    this.loads = loads;
     this.log = log;
     this.checkedAtMs = clock.millis();
   }
@@ -125,7 +122,6 @@
   }
 
   private void lost(EndpointEntry endpoint) {
-    loads.unreachable(endpoint.id(), clock.millis());
     List<Send> lost = new ArrayList<>();
     for (Send send : sends) {
       if (send.endpoint().id().equals(endpoint.id())
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -163,6 +163,9 @@
   /** Tells that an endpoint crashed while it ran a request. */
   record RequestCrashed(String fingerprint, String endpoint) implements PeerMessage {}
 
+  /** Tells that an endpoint accepts no connection from the sender. */
+  record EndpointLost(String endpoint) implements PeerMessage {}
+
   /**
    * Asks for what the receiver believes of the configuration, the endpoints and the VMs.
    *
