Read the seeds again when they are needed, flush the log at the exit, and test the platform's formats

Cause: the settings file may change without a signal; lines in the log's queue were lost at the exit. Change: the seeds are read from the file whenever a peer is asked; a stop flushes the log.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClassLoading.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClassLoading.java
@@ -42,7 +42,8 @@
     vertx.runOnContext(
         run -> {
           GatewayNode node =
-              new GatewayNode(vertx, settings, clock, new SplittableRandom(STOP_LIMIT_MS));
+              new GatewayNode(
+                  vertx, settings, () -> settings, clock, new SplittableRandom(STOP_LIMIT_MS));
           node.start().onSuccess(started -> call(vertx, node.clientPort()));
           vertx.setTimer(RUN_MS, fired -> System.exit(0));
         });
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -5,12 +5,16 @@
 import io.magnoliaroute.core.gateway.PrefixMemory;
 import io.magnoliaroute.core.gateway.ServiceTimes;
 import io.magnoliaroute.core.gateway.VmEntry;
+import io.magnoliaroute.core.settings.HostPort;
 import io.magnoliaroute.platform.BootSettings;
+import io.magnoliaroute.platform.PlatformFormatException;
 import io.magnoliaroute.platform.StoreClient;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.io.IOException;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.random.RandomGenerator;
 
 /** One VM that serves clients on the platform. */
@@ -40,6 +44,7 @@
   private static final long STOP_MARGIN_MS = 700;
 
   private final BootSettings settings;
+  private final SettingsSource source;
   private final InstantSource clock;
   private final Vertx vertx;
   private final DecisionLog log;
@@ -61,11 +66,28 @@
   private int readyPort;
   private int peerPort;
 
-  /** Joins the parts of a VM; nothing listens yet. */
+  /** Reads the settings again. */
+  public interface SettingsSource {
+
+    /** Returns the settings as they are now. */
+    BootSettings read() throws IOException, PlatformFormatException;
+  }
+
+  /**
+   * Joins the parts of a VM; nothing listens yet.
+   *
+   * @param settings the settings at the start
+   * @param source gives the settings at a later time; only the seeds may change
+   */
   public GatewayNode(
-      Vertx vertx, BootSettings settings, InstantSource clock, RandomGenerator random) {
+      Vertx vertx,
+      BootSettings settings,
+      SettingsSource source,
+      InstantSource clock,
+      RandomGenerator random) {
     this.vertx = vertx;
     this.settings = settings;
+    this.source = source;
     this.clock = clock;
     this.random = random;
     this.log = new DecisionLog(clock);
@@ -99,14 +121,7 @@
         new PeerDesk(
             peers,
             new PeerDesk.Parts(
-                self,
-                roster,
-                settings.seeds(),
-                beliefs,
-                follower,
-                allowances,
-                crashes,
-                reachability),
+                self, roster, this::seeds, beliefs, follower, allowances, crashes, reachability),
             random);
     crashes.announceTo(desk::announceCrash);
     reachability.announceTo(desk::announceLost);
@@ -193,7 +208,17 @@
 
   /** Takes the signal that the settings file may have changed. */
   public void reload() {
-    vertx.runOnContext(run -> log.line("reload").write());
+    vertx.runOnContext(run -> log.line("reload").put("seeds", seeds().toString()).write());
+  }
+
+  // The file can change without a signal, so it is read whenever its seeds are needed.
+  private List<HostPort> seeds() {
+    try {
+      return source.read().seeds();
+    } catch (IOException | PlatformFormatException e) {
+      log.line("settings_unreadable").put("problem", String.valueOf(e.getMessage())).write();
+      return settings.seeds();
+    }
   }
 
   /** Stops: not ready, requests finish, connections close. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /** Serves other VMs, and asks them for beliefs while the store is away. Used on one event loop. */
@@ -21,7 +22,7 @@
   private final Peers peers;
   private final VmEntry self;
   private final VmRoster roster;
-  private final List<HostPort> seeds;
+  private final Supplier<List<HostPort>> seeds;
   private final Beliefs beliefs;
   private final BeliefFollower follower;
   private final Allowances allowances;
@@ -33,7 +34,7 @@
   record Parts(
       VmEntry self,
       VmRoster roster,
-      List<HostPort> seeds,
+      Supplier<List<HostPort>> seeds,
       Beliefs beliefs,
       BeliefFollower follower,
       Allowances allowances,
@@ -44,7 +45,7 @@
     this.peers = peers;
     this.self = parts.self();
     this.roster = parts.roster();
-    this.seeds = List.copyOf(parts.seeds());
+    this.seeds = parts.seeds();
     this.beliefs = parts.beliefs();
     this.follower = parts.follower();
     this.allowances = parts.allowances();
@@ -79,7 +80,7 @@
         known.add(vm.address());
       }
     }
-    for (HostPort seed : seeds) {
+    for (HostPort seed : seeds.get()) {
       if (!seed.equals(self.address()) && !known.contains(seed)) {
         known.add(seed);
       }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PlatformMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PlatformMain.java
@@ -1,5 +1,6 @@
 package io.magnoliaroute.daemon.gateway;
 
+import ch.qos.logback.classic.LoggerContext;
 import io.magnoliaroute.daemon.lifecycle.SteadyClock;
 import io.magnoliaroute.platform.BootSettings;
 import io.magnoliaroute.platform.PlatformFormatException;
@@ -19,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.jboss.logging.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Runs a VM with the settings that the platform gives. */
 public final class PlatformMain {
@@ -55,7 +57,7 @@
     SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
     vertx.runOnContext(
         run -> {
-          GatewayNode node = new GatewayNode(vertx, settings, clock, random);
+          GatewayNode node = new GatewayNode(vertx, settings, PlatformMain::decode, clock, random);
           onSignal("HUP", node::reload);
           Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, settings), "stop"));
           node.start()
@@ -67,15 +69,19 @@
         });
   }
 
-  private static BootSettings read() {
+  private static BootSettings decode() throws IOException, PlatformFormatException {
     String file = System.getenv(SETTINGS_VARIABLE);
+    if (file == null) {
+      throw new PlatformFormatException(SETTINGS_VARIABLE + " is not set");
+    }
+    return BootSettings.decode(Files.readAllBytes(Path.of(file)));
+  }
+
+  private static BootSettings read() {
     try {
-      if (file == null) {
-        throw new PlatformFormatException(SETTINGS_VARIABLE + " is not set");
-      }
-      return BootSettings.decode(Files.readAllBytes(Path.of(file)));
+      return decode();
     } catch (IOException | PlatformFormatException e) {
-      System.err.println("cannot use the settings " + file + ": " + e.getMessage());
+      System.err.println("cannot use the settings: " + e.getMessage());
       System.exit(EXIT_FINDINGS);
       throw new IllegalStateException("unreachable", e);
     }
@@ -91,9 +97,17 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    flushLogs();
     Runtime.getRuntime().halt(0);
   }
 
+  // Lines still in the queue would be lost.
+  private static void flushLogs() {
+    if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+      context.stop();
+    }
+  }
+
   // The runtime's signal class is not part of the platform's interface; without a handler the
   // process would end.
   private static void onSignal(String name, Runnable action) {
--- /dev/null
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EventCutterTest.java
@@ -0,0 +1,74 @@
+package io.magnoliaroute.daemon.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against streams with a torn, missing or repeated event after a resumption. */
+@DisplayName("The cutter of events")
+class EventCutterTest {
+
+  private static final int MAX_EVENT_BYTES = 100;
+
+  private final EventCutter cutter = new EventCutter(MAX_EVENT_BYTES);
+
+  private String cut(String bytes) throws EventCutter.OversizedEventException {
+    return cutter.cut(Buffer.buffer(bytes)).toString();
+  }
+
+  @Test
+  @DisplayName("passes whole events on and keeps the rest")
+  void whole() throws EventCutter.OversizedEventException {
+    assertEquals("id: 1\ndata: a\n\n", cut("id: 1\ndata: a\n\nid: 2\nda"));
+    assertEquals(Optional.of("1"), cutter.lastId());
+    assertTrue(cutter.hasPartialEvent());
+
+    assertEquals("id: 2\ndata: b\n\n", cut("ta: b\n\n"));
+    assertEquals(2, cutter.events());
+    assertFalse(cutter.hasPartialEvent());
+  }
+
+  @Test
+  @DisplayName("gives the same events however the bytes are split")
+  void anySplit() throws EventCutter.OversizedEventException {
+    String text = "id: 1\ndata: a\n\ndata: b\r\n\r\nid: 3\r\ndata: c\r\n\r\n";
+    SplittableRandom random = new SplittableRandom(5);
+    for (int round = 0; round < 500; round++) {
+      EventCutter each = new EventCutter(MAX_EVENT_BYTES);
+      StringBuilder out = new StringBuilder();
+      int position = 0;
+      while (position < text.length()) {
+        int next = Math.min(text.length(), position + 1 + random.nextInt(7));
+        out.append(each.cut(Buffer.buffer(text.substring(position, next))));
+        position = next;
+      }
+      assertEquals(text, out.toString(), "round " + round);
+      assertEquals(3, each.events(), "round " + round);
+      assertEquals(Optional.of("3"), each.lastId(), "round " + round);
+    }
+  }
+
+  @Test
+  @DisplayName("drops a torn event and repeated events when another run goes on")
+  void resumed() throws EventCutter.OversizedEventException {
+    cut("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    cutter.restart();
+
+    assertEquals("id: 3\ndata: c\n\n", cut("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+    assertEquals(3, cutter.events());
+  }
+
+  @Test
+  @DisplayName("fails on an event that is too long")
+  void tooLong() {
+    assertThrows(
+        EventCutter.OversizedEventException.class, () -> cut("x".repeat(MAX_EVENT_BYTES + 1)));
+  }
+}
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -194,7 +194,9 @@
     InstantSource clock = new SteadyClock(InstantSource.system(), System::nanoTime);
     GatewayNode node =
         Await.result(
-            onContext(runtime, () -> new GatewayNode(runtime, settings, clock, SEEDS.split())));
+            onContext(
+                runtime,
+                () -> new GatewayNode(runtime, settings, () -> settings, clock, SEEDS.split())));
     Await.result(onContext(runtime, node::start).compose(started -> started));
     return node;
   }
