Explain a request from the decision logs, and log each send

Cause: an engineer with only an id and the logs had to search several files by hand. Change: magnoliaroute explain ID FILE... prints the lines of the request, of its program and the last beliefs of its VM in order of time; each line names its VM; each send leaves a line with its inputs.

--- a/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/CommandLineTool.java
+++ b/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/CommandLineTool.java
@@ -17,7 +17,7 @@
     description =
         "Operates magnoliaroute. Exit codes: 0 ok, 1 failed, 2 usage, 3 findings, 4 not run,"
             + " 5 unknown, 6 unreachable.",
-    commands = {StatusCommand.class, TeamsCommand.class, RunCommand.class},
+    commands = {StatusCommand.class, TeamsCommand.class, RunCommand.class, ExplainCommand.class},
     groups = {
       @Group(
           name = "config",
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/DecisionLog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/DecisionLog.java
@@ -25,6 +25,7 @@
 
   private static final long WINDOW_MS = 1_000;
 
+  private final String vm;
   private final InstantSource clock;
   private final Map<String, Window> windows = new HashMap<>();
 
@@ -34,7 +35,8 @@
     private int leftOut;
   }
 
-  DecisionLog(InstantSource clock) {
+  DecisionLog(String vm, InstantSource clock) {
+    this.vm = vm;
     this.clock = clock;
   }
 
@@ -51,7 +53,7 @@
       return new Line(null, null);
     }
     window.written++;
-    Line line = Line.begin(nowMs, event);
+    Line line = Line.begin(nowMs, vm, event);
     if (window.leftOut > 0) {
       line.put("left_out_before", window.leftOut);
       window.leftOut = 0;
@@ -70,12 +72,13 @@
       this.json = json;
     }
 
-    private static Line begin(long nowMs, String event) {
+    private static Line begin(long nowMs, String vm, String event) {
       StringWriter text = new StringWriter();
       try {
         JsonGenerator json = JSON.createGenerator(text);
         json.writeStartObject();
         json.writeNumberField("at_ms", nowMs);
+        json.writeStringField("vm", vm);
         json.writeStringField("event", event);
         return new Line(text, json);
       } catch (IOException e) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -332,6 +332,19 @@
     MultiMap headers = MultiMap.caseInsensitiveMultiMap();
     long leftMs = Math.max(1, untilMs - now());
     CallHeaders.encode(request.headers(), headers, connection.endpoint(), leftMs, events.lastId());
+    EndpointEntry endpoint = connection.endpoint();
+    gateway
+        .log()
+        .line("request_sent")
+        .put("request", request.call().requestId())
+        .put("endpoint", endpoint.id().value())
+        .put("service", service)
+        .put("busy", (long) gateway.loads().busy(endpoint.id(), now()))
+        .put("pace_percent", (long) (100 * gateway.loads().pace(endpoint.id(), now())))
+        .put("entry_sequence", endpoint.sequence())
+        .put("left_ms", leftMs)
+        .put("after_event", events.lastId().orElse(""))
+        .write();
     current = new Send(gateway, connection, this, request.call().requestId());
     current.start(
         new Send.Content(
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -90,7 +90,7 @@
     this.source = source;
     this.clock = clock;
     this.random = random;
-    this.log = new DecisionLog(clock);
+    this.log = new DecisionLog(settings.vm().value(), clock);
     this.storeHealth = new StoreHealth(clock, log);
     this.store = new StoreClient(vertx, settings.store(), metrics::storeCall);
     this.follower = new BeliefFollower(beliefs, storeHealth, clock, log);
@@ -161,7 +161,6 @@
   /** Starts following the store and listening. */
   public Future<Void> start() {
     log.line("start")
-        .put("vm", settings.vm().value())
         .put("data_centre", settings.dataCentre())
         .put("first_start", settings.firstStart())
         .write();
