Let one VM decide for all while the store is away, and ask peers as soon as one tail fails

Change: while the store is away the first reachable VM of all decides; VMs that may have to decide read the records at their start; half of a large budget may run from memory, and slices are an eighth of it; a tail that fails for 0.3 s makes the VM ask a peer, whose list also removes endpoints when it is current; lost peers are reached in the background.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
@@ -18,12 +18,18 @@
  */
 public final class AllowancePartition {
 
-  /** Turns in a slice: few records for a program, little lost with a holder. */
+  /** Turns in the smallest slice: few records for a program, little lost with a holder. */
   static final int SLICE_TURNS = 3;
 
-  /** Turns that may run without a record while the store is away. */
+  /** A large budget is granted in this many slices. */
+  static final int SLICES = 8;
+
+  /** Turns that may always run without a record while the store is away. */
   static final int OFFLINE_TURNS = 3;
 
+  /** Of a large budget, this part may run without a record while the store is away. */
+  static final int OFFLINE_DIVISOR = 2;
+
   /** A program that nobody has used for this long does not come back; the routes keep a minute. */
   static final long RETENTION_MS = 180_000;
 
@@ -152,7 +158,7 @@
     }
     long uncovered = account.spent + turnTokens - account.mine;
     account.wanted = true;
-    if (uncovered > OFFLINE_TURNS * turnTokens) {
+    if (uncovered > Math.max(OFFLINE_TURNS * turnTokens, budgetTokens / OFFLINE_DIVISOR)) {
       return Decision.WAIT;
     }
     account.told = used(account) + turnTokens;
@@ -251,7 +257,8 @@
 
   private static long slice(Account account) {
     long uncovered = Math.max(0, account.spent - account.mine);
-    return Math.min(room(account), Math.max(uncovered, SLICE_TURNS * account.turn));
+    long usual = Math.max(SLICE_TURNS * account.turn, account.budget / SLICES);
+    return Math.min(room(account), Math.max(uncovered, usual));
   }
 
   private static long used(Account account) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -23,7 +23,7 @@
   static final String TOPIC = StoreClient.KEYED_PREFIX + "allowances";
 
   /** How long a turn waits for its slice; many times the store's usual answer. */
-  static final long WAIT_MS = 200;
+  static final long WAIT_MS = 120;
 
   /** Knowledge of other holders' records that is older is renewed before an unknown program. */
   private static final long MAX_AGE_MS = 1_000;
@@ -97,11 +97,22 @@
     }
     if (partition.isLoaded()) {
       append();
-    } else if (loading == null) {
-      loading = load().onComplete(done -> loading = null).onSuccess(loaded -> append());
+    } else {
+      prepare().onSuccess(loaded -> append());
     }
   }
 
+  /** Reads the records, so that this VM can decide on them when the store goes away. */
+  Future<Void> prepare() {
+    if (partition.isLoaded()) {
+      return Future.succeededFuture();
+    }
+    if (loading == null) {
+      loading = load().onComplete(done -> loading = null);
+    }
+    return loading;
+  }
+
   /** Gives back what was not spent; other holders take over. */
   Future<Void> release() {
     leaving = true;
@@ -195,8 +206,11 @@
         && (partition.knows(program) || partition.ageMs(clock.millis()) < MAX_AGE_MS)) {
       return Future.succeededFuture();
     }
+    if (!partition.isLoaded()) {
+      return prepare();
+    }
     if (loading == null) {
-      loading = (partition.isLoaded() ? read() : load()).onComplete(done -> loading = null);
+      loading = read().onComplete(done -> loading = null);
     }
     return loading;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
@@ -92,7 +92,7 @@
   @Override
   public void settle(Reservation reservation, long handedTokens) {
     long used = reservation.usedTokens() - reservation.reservedTokens() + handedTokens;
-    for (VmEntry each : firstOfEachDataCentre(reservation.program())) {
+    for (VmEntry each : firstOfEachDataCentre(partition(reservation.program()))) {
       tellUsed(each, reservation.program(), used);
     }
     if (reservation.holder().isPresent()) {
@@ -115,8 +115,16 @@
     return holder(program).used(program);
   }
 
-  /** Records what ran without a record. */
-  void recordPending() {
+  /**
+   * Records what ran without a record, and reads the records of partitions on which this VM may
+   * have to decide without the store.
+   */
+  void tend() {
+    for (int partition = 0; partition < partitions; partition++) {
+      if (firstOfEachDataCentre(partition).contains(self)) {
+        holders.computeIfAbsent(partition, makeHolder::apply).prepare();
+      }
+    }
     holders.values().forEach(AllowanceHolder::recordPending);
   }
 
@@ -139,7 +147,7 @@
     if (next >= candidates.size()) {
       return offline
           ? Future.succeededFuture(reservation(Verdict.UNABLE, turn, self, 0))
-          : reserveAt(near(turn.program()), 0, turn, true);
+          : reserveAt(candidates(turn.program()), 0, turn, true);
     }
     VmEntry candidate = candidates.get(next);
     return askCandidate(candidate, turn, offline)
@@ -217,7 +225,7 @@
   /** Returns the first VM of all, then the first ones of this data centre. */
   private List<VmEntry> candidates(String program) {
     List<VmEntry> candidates = new ArrayList<>();
-    candidates.add(ranked(program).get(0));
+    candidates.add(ranked(partition(program)).get(0));
     for (VmEntry each : near(program)) {
       if (!candidates.contains(each)) {
         candidates.add(each);
@@ -228,7 +236,7 @@
 
   private List<VmEntry> near(String program) {
     List<VmEntry> near = new ArrayList<>();
-    for (VmEntry each : ranked(program)) {
+    for (VmEntry each : ranked(partition(program))) {
       if (each.dataCentre().equals(self.dataCentre()) && near.size() < NEAR_CANDIDATES) {
         near.add(each);
       }
@@ -236,15 +244,15 @@
     return near;
   }
 
-  private Collection<VmEntry> firstOfEachDataCentre(String program) {
+  private Collection<VmEntry> firstOfEachDataCentre(int partition) {
     Map<String, VmEntry> first = new LinkedHashMap<>();
-    for (VmEntry each : ranked(program)) {
+    for (VmEntry each : ranked(partition)) {
       first.putIfAbsent(each.dataCentre(), each);
     }
     return first.values();
   }
 
-  private List<VmEntry> ranked(String program) {
+  private List<VmEntry> ranked(int partition) {
     Map<VmId, VmEntry> live = new HashMap<>();
     for (VmEntry vm : roster.all()) {
       if (!peers.isSuspect(vm.address())) {
@@ -253,7 +261,7 @@
     }
     live.put(self.vm(), self);
     List<VmEntry> ranked = new ArrayList<>();
-    for (VmId vm : Rendezvous.ranked(Rendezvous.allowanceKey(partition(program)), live.keySet())) {
+    for (VmId vm : Rendezvous.ranked(Rendezvous.allowanceKey(partition), live.keySet())) {
       ranked.add(live.get(vm));
     }
     return ranked;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/BeliefFollower.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/BeliefFollower.java
@@ -72,17 +72,23 @@
     }
   }
 
-  /** Takes what a peer believes of the endpoints; removals are learned from the store alone. */
-  void endpointsFromPeer(List<EndpointEntry> entries) {
-    int changed = 0;
-    for (EndpointEntry entry : entries) {
-      changed += beliefs.endpoints().apply(entry) ? 1 : 0;
+  /**
+   * Takes what a peer believes of the endpoints.
+   *
+   * @param current whether endpoints that are not listed have been removed
+   */
+  void endpointsFromPeer(List<EndpointEntry> entries, boolean current) {
+    long before = beliefs.endpoints().revision();
+    if (current && !entries.isEmpty()) {
+      beliefs.endpoints().applyListing(entries, false, clock.millis());
+    } else {
+      entries.forEach(beliefs.endpoints()::apply);
     }
     if (!entries.isEmpty()) {
       beliefs.endpointsKnown();
     }
-    if (changed > 0) {
-      log.line("endpoints_from_peer").put("changed", changed).write();
+    if (beliefs.endpoints().revision() != before) {
+      log.line("endpoints_from_peer").put("entries", entries.size()).write();
     }
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 /** One VM that serves clients on the platform. */
@@ -24,7 +25,7 @@
   private static final int PREFIX_PARTS = 4_096;
 
   /** The configuration changes seldom and has to be in force at once: the store holds the read. */
-  private static final StoreTail.Pace CONFIG_PACE = new StoreTail.Pace(2_500, 0);
+  private static final StoreTail.Pace CONFIG_PACE = new StoreTail.Pace(1_000, 0);
 
   /** Endpoints write all the time; a drain has to be seen within two seconds. */
   private static final StoreTail.Pace ENDPOINT_PACE = new StoreTail.Pace(1_000, 600);
@@ -38,7 +39,7 @@
   /** A VM that does not know all others yet takes no more than this from an endpoint. */
   private static final int MIN_CONNECTIONS = 4;
 
-  private static final long ASK_PEERS_MS = 500;
+  private static final long ASK_PEERS_MS = 300;
   private static final long HOUSEKEEPING_MS = 500;
   private static final long STOP_CHECK_MS = 50;
   private static final long STOP_MARGIN_MS = 700;
@@ -60,6 +61,7 @@
   private final Allowances allowances;
   private final Gateway gateway;
   private final FrontServer front;
+  private BooleanSupplier beliefsBehind = () -> true;
   private boolean stopping;
   private boolean announcedReady;
   private int clientPort;
@@ -121,7 +123,15 @@
         new PeerDesk(
             peers,
             new PeerDesk.Parts(
-                self, roster, this::seeds, beliefs, follower, allowances, crashes, reachability),
+                self,
+                roster,
+                this::seeds,
+                beliefs,
+                follower,
+                allowances,
+                crashes,
+                reachability,
+                () -> beliefsBehind.getAsBoolean()),
             random);
     crashes.announceTo(desk::announceCrash);
     reachability.announceTo(desk::announceLost);
@@ -164,13 +174,14 @@
         .put("data_centre", settings.dataCentre())
         .put("first_start", settings.firstStart())
         .write();
-    tail(StoreClient.OPERATOR_TOPIC, CONFIG_PACE, follower.configuration());
-    tail(StoreClient.ENDPOINT_TOPIC, ENDPOINT_PACE, follower.endpoints());
+    StoreTail config = tail(StoreClient.OPERATOR_TOPIC, CONFIG_PACE, follower.configuration());
+    StoreTail endpoints = tail(StoreClient.ENDPOINT_TOPIC, ENDPOINT_PACE, follower.endpoints());
+    beliefsBehind = () -> config.isBehind() || endpoints.isBehind();
     tail(VmRoster.TOPIC, VM_PACE, roster);
     vertx.setPeriodic(
         ASK_PEERS_MS,
         timer -> {
-          if (!beliefs.isComplete() || storeHealth.isOut()) {
+          if (!beliefs.isComplete() || beliefsBehind.getAsBoolean()) {
             desk.askForBeliefs();
           }
         });
@@ -184,7 +195,8 @@
         HOUSEKEEPING_MS,
         timer -> {
           gateway.connections().closeExpired();
-          allowances.recordPending();
+          allowances.tend();
+          peers.reconnectLost();
           if (beliefs.isComplete()) {
             roster.register();
           }
@@ -276,7 +288,9 @@
     return beliefs.endpoints().usable(service, clock.millis()).size();
   }
 
-  private void tail(String topic, StoreTail.Pace pace, StoreTail.Reader reader) {
-    new StoreTail(vertx, store, storeHealth, random, topic, pace, reader).start();
+  private StoreTail tail(String topic, StoreTail.Pace pace, StoreTail.Reader reader) {
+    StoreTail tail = new StoreTail(vertx, store, storeHealth, random, topic, pace, reader);
+    tail.start();
+    return tail;
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -28,6 +29,7 @@
   private final Allowances allowances;
   private final CrashGuard crashes;
   private final Reachability reachability;
+  private final BooleanSupplier behind;
   private final RandomGenerator random;
 
   /** The parts that messages concern. */
@@ -39,7 +41,8 @@
       BeliefFollower follower,
       Allowances allowances,
       CrashGuard crashes,
-      Reachability reachability) {}
+      Reachability reachability,
+      BooleanSupplier behind) {}
 
   PeerDesk(Peers peers, Parts parts, RandomGenerator random) {
     this.peers = peers;
@@ -51,6 +54,7 @@
     this.allowances = parts.allowances();
     this.crashes = parts.crashes();
     this.reachability = parts.reachability();
+    this.behind = parts.behind();
     this.random = random;
   }
 
@@ -80,12 +84,11 @@
         known.add(vm.address());
       }
     }
-    for (HostPort seed : seeds.get()) {
-      if (!seed.equals(self.address()) && !known.contains(seed)) {
-        known.add(seed);
-      }
-    }
     known.removeIf(peers::isSuspect);
+    if (known.isEmpty()) {
+      known.addAll(seeds.get());
+      known.remove(self.address());
+    }
     if (known.isEmpty()) {
       return;
     }
@@ -161,7 +164,8 @@
     }
     byte[] config =
         ask.configVersion() < beliefs.tableVersion() ? beliefs.tableBytes() : new byte[0];
-    return new PeerMessage.BeliefsReply(ask.request(), Bytes.copyOf(config), endpoints, vms);
+    return new PeerMessage.BeliefsReply(
+        ask.request(), Bytes.copyOf(config), !behind.getAsBoolean(), endpoints, vms);
   }
 
   private void learn(PeerMessage.BeliefsReply reply) {
@@ -186,6 +190,6 @@
               each.startedAtMs(),
               each.sequence()));
     }
-    follower.endpointsFromPeer(endpoints);
+    follower.endpointsFromPeer(endpoints, reply.current());
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Peers.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Peers.java
@@ -29,10 +29,10 @@
 
   private static final int CONNECT_TIMEOUT_MS = 200;
 
-  /** A peer that did not answer is left alone for this long, and longer each time. */
-  private static final long FIRST_SUSPECT_MS = 500;
+  /** The first pause before a lost peer is tried again; later pauses grow. */
+  private static final long FIRST_RETRY_MS = 250;
 
-  private static final long MAX_SUSPECT_MS = 4_000;
+  private static final long MAX_RETRY_MS = 2_000;
   private static final int MAX_DOUBLINGS = 3;
   private static final int MAX_WAITING = 200;
 
@@ -65,7 +65,8 @@
     private final List<Buffer> waiting = new ArrayList<>();
     private final Map<Long, Promise<PeerMessage>> asked = new HashMap<>();
     private int failures;
-    private long suspectUntilMs;
+    private boolean lost;
+    private long retryAtMs;
   }
 
   Peers(Vertx vertx, InstantSource clock, DecisionLog log, GatewayMetrics metrics) {
@@ -91,10 +92,20 @@
     return ++lastRequest;
   }
 
-  /** Returns whether the peer has failed lately. */
+  /** Returns whether the peer has failed and has not been reached since. */
   boolean isSuspect(HostPort address) {
     Peer peer = peers.get(address);
-    return peer != null && clock.millis() < peer.suspectUntilMs;
+    return peer != null && peer.lost;
+  }
+
+  /** Connects to lost peers whose time has come; they get no messages before. */
+  void reconnectLost() {
+    peers.forEach(
+        (address, peer) -> {
+          if (peer.lost && peer.socket == null && clock.millis() >= peer.retryAtMs) {
+            connect(address, peer);
+          }
+        });
   }
 
   /** Sends a request and completes with its answer. */
@@ -143,6 +154,7 @@
             socket -> {
               peer.connecting = false;
               peer.socket = socket;
+              regained(address, peer);
               socket.handler(reader(socket, message -> answered(address, peer, message)));
               socket.exceptionHandler(e -> socket.close());
               socket.closeHandler(closed -> closed(address, peer, socket));
@@ -156,6 +168,13 @@
             });
   }
 
+  private void regained(HostPort address, Peer peer) {
+    if (peer.lost) {
+      peer.lost = false;
+      log.line("peer_regained").put("peer", address.toString()).write();
+    }
+  }
+
   private void closed(HostPort address, Peer peer, NetSocket socket) {
     if (peer.socket == socket) {
       peer.socket = null;
@@ -166,16 +185,12 @@
   }
 
   private void failed(HostPort address, Peer peer, String cause) {
-    if (clock.millis() >= peer.suspectUntilMs) {
-      long suspectMs =
-          Math.min(MAX_SUSPECT_MS, FIRST_SUSPECT_MS << Math.min(peer.failures, MAX_DOUBLINGS));
-      peer.failures++;
-      peer.suspectUntilMs = clock.millis() + suspectMs;
-      log.line("peer_suspect")
-          .put("peer", address.toString())
-          .put("cause", cause)
-          .put("for_ms", suspectMs)
-          .write();
+    long retryMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS << Math.min(peer.failures, MAX_DOUBLINGS));
+    peer.failures++;
+    peer.retryAtMs = clock.millis() + retryMs;
+    if (!peer.lost) {
+      peer.lost = true;
+      log.line("peer_lost").put("peer", address.toString()).put("cause", cause).write();
     }
     metrics.count("peer_failures");
     peer.waiting.clear();
@@ -191,7 +206,6 @@
 
   private void answered(HostPort address, Peer peer, PeerMessage message) {
     peer.failures = 0;
-    peer.suspectUntilMs = 0;
     Promise<PeerMessage> promise = peer.asked.remove(requestOf(message));
     if (promise != null) {
       promise.tryComplete(message);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
@@ -28,6 +28,10 @@
     this.lastOkMs = clock.millis();
   }
 
+  long nowMs() {
+    return clock.millis();
+  }
+
   void succeeded() {
     long nowMs = clock.millis();
     if (isOut()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
@@ -8,8 +8,11 @@
 /** Follows one partition of the store: a listing first, then each new record. */
 final class StoreTail {
 
+  /** A tail that fails for longer than this may have missed a change that others have seen. */
+  private static final long BEHIND_AFTER_MS = 300;
+
   private static final long FIRST_RETRY_MS = 100;
-  private static final long MAX_RETRY_MS = 500;
+  private static final long MAX_RETRY_MS = 250;
 
   private final Vertx vertx;
   private final StoreClient store;
@@ -20,6 +23,7 @@
   private final Reader reader;
   private long nextOffset = -1;
   private long retryMs = FIRST_RETRY_MS;
+  private long failingSinceMs = Long.MAX_VALUE;
 
   /**
    * How often the store is asked.
@@ -100,7 +104,13 @@
             });
   }
 
+  /** Returns whether the store has not answered this tail for a while. */
+  boolean isBehind() {
+    return failingSinceMs != Long.MAX_VALUE && health.nowMs() - failingSinceMs >= BEHIND_AFTER_MS;
+  }
+
   private void succeeded() {
+    failingSinceMs = Long.MAX_VALUE;
     retryMs = FIRST_RETRY_MS;
     health.succeeded();
   }
@@ -108,6 +118,7 @@
   private void retry(Throwable cause, Runnable step) {
     if (!(cause instanceof StoreException store) || store.kind() != StoreException.Kind.EXPIRED) {
       health.failed(cause);
+      failingSinceMs = Math.min(failingSinceMs, health.nowMs());
     }
     long delayMs = retryMs / 2 + 1 + random.nextLong(retryMs);
     retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -179,11 +179,16 @@
    *
    * @param request the request that is answered
    * @param config the configuration; empty where the asker has it
+   * @param current whether the sender reads the store, so that its list has no removed endpoints
    * @param endpoints the endpoints
    * @param vms the VMs
    */
   record BeliefsReply(
-      long request, Bytes config, List<EndpointBelief> endpoints, List<VmBelief> vms)
+      long request,
+      Bytes config,
+      boolean current,
+      List<EndpointBelief> endpoints,
+      List<VmBelief> vms)
       implements PeerMessage {
 
     /** Copies the lists. */
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -41,6 +41,28 @@
   private final MessageCodec codec = new MessageCodec();
 
   static Stream<PeerMessage> messages() {
+    return Stream.concat(programMessages(), gatewayMessages());
+  }
+
+  private static Stream<PeerMessage> gatewayMessages() {
+    return Stream.of(
+        new PeerMessage.AllowanceAsk(1, "p1", 300, 100, true),
+        new PeerMessage.AllowanceReply(1, "p1", 100, "GRANTED", 160),
+        new PeerMessage.AllowanceSettle("p1", 100, 60),
+        new PeerMessage.AllowanceNote("p1", 160),
+        new PeerMessage.ProgramExhausted("p1"),
+        new PeerMessage.RequestCrashed("00ff", "e1"),
+        new PeerMessage.EndpointLost("e1"),
+        new PeerMessage.BeliefsAsk(1, 7),
+        new PeerMessage.BeliefsReply(
+            1,
+            BYTES,
+            true,
+            List.of(new PeerMessage.EndpointBelief("e1", "s", "127.0.0.1", 7, "dc", 8, true, 1, 2)),
+            List.of(new PeerMessage.VmBelief("vm-1", "127.0.0.1", 7, "dc"))));
+  }
+
+  private static Stream<PeerMessage> programMessages() {
     MemberDelta delta =
         new MemberDelta(
             new MemberInfo(
