Test two VMs, silent connections and clients that leave

Change: tests with a second VM in another data centre: a program that sends twenty turns at once in an outage, a spent program after a restart, a configuration that only a peer knows; and a connection that falls silent, a client that leaves.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -80,6 +80,10 @@
     partition.settle(program, reservedTokens, handedTokens, clock.millis());
   }
 
+  boolean isLoaded() {
+    return partition.isLoaded();
+  }
+
   /** Returns what is known to be used of a program's budget. */
   long used(String program) {
     return partition.used(program);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
@@ -128,6 +128,10 @@
     holders.values().forEach(AllowanceHolder::recordPending);
   }
 
+  int loadedPartitions() {
+    return (int) holders.values().stream().filter(AllowanceHolder::isLoaded).count();
+  }
+
   /** Decides on a turn as the holder of its program's budget. */
   Future<Verdict> reserveHere(String program, long budgetTokens, long turnTokens, boolean offline) {
     return holder(program).reserve(program, budgetTokens, turnTokens, offline);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -284,6 +284,14 @@
     return peerPort;
   }
 
+  int knownVms() {
+    return roster.size();
+  }
+
+  int loadedPartitions() {
+    return allowances.loadedPartitions();
+  }
+
   int usableEndpoints(String service) {
     return beliefs.endpoints().usable(service, clock.millis()).size();
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -117,6 +117,26 @@
       assertEquals(200, world.call("GET", "/safe/x", Map.of()).status());
     }
 
+    @Test
+    @DisplayName("repeats an idempotent call on a new connection when its own falls silent")
+    void silentConnection() {
+      world.bothThen(Behaviour.HANGS);
+
+      assertEquals(200, world.call("GET", "/safe/x", Map.of()).status());
+      assertEquals(2, world.allRan().size());
+    }
+
+    @Test
+    @DisplayName("ends the endpoint's work when the client leaves")
+    void clientLeaves() {
+      world.bothThen(Behaviour.HANGS);
+      world.leaveDuring("GET", "/safe/x");
+
+      Await.until(
+          "the endpoint sees its caller leave",
+          () -> world.first().brokenByCaller() + world.second().brokenByCaller() == 1);
+    }
+
     @Test
     @DisplayName("never gives a client an answer that names another request")
     void foreignAnswer() {
@@ -259,6 +279,45 @@
       assertEquals(200, world.call("GET", "/safe/x", Map.of()).status());
     }
 
+    @Test
+    @DisplayName("refuses a program that had spent its budget before this VM started")
+    void spentBeforeStart() {
+      while (world.turn("p1", 300, 100).status() == 200) {
+        // Spends the budget.
+      }
+      world.restartVm();
+      Await.until("the records are read", () -> world.vm().loadedPartitions() == 2);
+      world.store().setFault(StandInStore.Fault.SILENT);
+
+      assertEquals(402, world.turn("p1", 300, 100).status());
+    }
+
+    @Test
+    @DisplayName("does not give a program that sends many turns at once more than its budget")
+    void manyTurnsAtOnce() {
+      world.startSecondVm();
+      Await.until("ready", () -> world.secondReady() == 200);
+      Await.until(
+          "both know both", () -> world.vm().knownVms() == 2 && world.secondVm().knownVms() == 2);
+      world.store().setFault(StandInStore.Fault.SILENT);
+
+      assertEquals(3, world.servedOf(20, "p1", 300, 100));
+    }
+
+    @Test
+    @DisplayName("applies a newer configuration within two seconds though the store refuses it")
+    void configurationFromPeer() {
+      world.startSecondVmWithoutStore();
+      Await.until("ready", () -> world.secondReady() == 200);
+
+      world.publish(5, "/moved/");
+
+      Await.within(
+          2_000,
+          "the configuration is in force",
+          () -> world.callSecond("/moved/x").status() == 200);
+    }
+
     @Test
     @DisplayName("learns its configuration from a peer")
     void learnsFromPeer() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -14,6 +14,9 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -30,12 +33,13 @@
   private static final SplittableRandom SEEDS = new SplittableRandom(7);
 
   private final Vertx vertx = Vertx.vertx();
+  private final Vertx secondRuntime = Vertx.vertx();
   private final HttpClient client = vertx.createHttpClient();
   private final StandInStore store = new StandInStore(vertx);
+  private final StandInStore refusingStore = new StandInStore(secondRuntime);
   private final StandInEndpoint first = new StandInEndpoint(vertx, "e1");
   private final StandInEndpoint second = new StandInEndpoint(vertx, "e2");
   private final int storePort;
-  private final Vertx secondRuntime = Vertx.vertx();
   private Vertx vmRuntime = Vertx.vertx();
   private GatewayNode vm;
   private GatewayNode secondVm;
@@ -51,7 +55,7 @@
     publish(3, "/other/");
     store.put("keyed.servers", "e1", first.entry("s", "ready", 1));
     store.put("keyed.servers", "e2", second.entry("s", "ready", 1));
-    vm = startVm(vmRuntime, storePort, "vm-1", List.of());
+    vm = startVm(vmRuntime, storePort, "vm-1", "dc", List.of());
     Await.until("the VM is ready", () -> ready() == 200);
   }
 
@@ -135,10 +139,20 @@
   }
 
   Answer turn(String program, long budget, long most) {
-    return call(
-        "POST",
-        "/stream/x",
+    return call("POST", "/stream/x", turnHeaders(program, budget, most));
+  }
+
+  Answer callSecond(String path) {
+    Map<String, String> headers =
+        new HashMap<>(Map.of("X-Request-Id", String.valueOf(++requests), "Host", "h"));
+    return Await.result(send(secondVm.clientPort(), HttpMethod.GET, path, headers));
+  }
+
+  private static Map<String, String> turnHeaders(String program, long budget, long most) {
+    return new HashMap<>(
         Map.of(
+            "Host",
+            "h",
             "X-Program-Id",
             program,
             "X-Session-Id",
@@ -149,6 +163,21 @@
             "10," + most));
   }
 
+  /** Sends a request and closes the connection once an endpoint runs it. */
+  void leaveDuring(String method, String path) {
+    int ran = allRan().size();
+    HttpClient leaving = vertx.createHttpClient();
+    leaving
+        .request(HttpMethod.valueOf(method), vm.clientPort(), "127.0.0.1", path)
+        .onSuccess(
+            request -> {
+              request.putHeader("Host", "h").putHeader("X-Request-Id", "leaves");
+              request.send();
+            });
+    Await.until("an endpoint runs it", () -> allRan().size() > ran);
+    Await.result(leaving.close());
+  }
+
   int ready() {
     return status(vm.readyPort());
   }
@@ -164,13 +193,47 @@
   void restartVm() {
     Await.result(vmRuntime.close());
     vmRuntime = Vertx.vertx();
-    vm = startVm(vmRuntime, storePort, "vm-1", List.of());
+    vm = startVm(vmRuntime, storePort, "vm-1", "dc", List.of());
   }
 
+  /** Starts a VM in another data centre that reaches the same store. */
   void startSecondVm() {
-    secondVm =
-        startVm(
-            secondRuntime, storePort, "vm-2", List.of(new HostPort("127.0.0.1", vm.peerPort())));
+    secondVm = startVm(secondRuntime, storePort, "vm-2", "dc2", peers());
+  }
+
+  /** Starts a VM in another data centre whose store refuses every call. */
+  void startSecondVmWithoutStore() {
+    refusingStore.setFault(StandInStore.Fault.DOWN);
+    int port = Await.result(refusingStore.start());
+    secondVm = startVm(secondRuntime, port, "vm-2", "dc2", peers());
+  }
+
+  private List<HostPort> peers() {
+    return List.of(new HostPort("127.0.0.1", vm.peerPort()));
+  }
+
+  GatewayNode vm() {
+    return vm;
+  }
+
+  GatewayNode secondVm() {
+    return secondVm;
+  }
+
+  /** Sends turns to both VMs at once and returns how many were served. */
+  int servedOf(int turns, String program, long budget, long most) {
+    List<Future<Answer>> all = new ArrayList<>();
+    for (int i = 0; i < turns; i++) {
+      GatewayNode to = i % 2 == 0 ? vm : secondVm;
+      Map<String, String> headers = turnHeaders(program, budget, most);
+      headers.put("X-Request-Id", String.valueOf(++requests));
+      all.add(send(to.clientPort(), HttpMethod.POST, "/stream/x", headers));
+    }
+    int served = 0;
+    for (Future<Answer> each : all) {
+      served += Await.result(each).status() == 200 ? 1 : 0;
+    }
+    return served;
   }
 
   void beginStop() {
@@ -178,14 +241,14 @@
   }
 
   private static GatewayNode startVm(
-      Vertx runtime, int storePort, String name, List<HostPort> seeds) {
+      Vertx runtime, int storePort, String name, String dataCentre, List<HostPort> seeds) {
     BootSettings settings =
         new BootSettings(
             new VmId(name),
-            "dc",
+            dataCentre,
             ANY_PORT,
             ANY_PORT,
-            Optional.of(ANY_PORT),
+            Optional.of(new HostPort("127.0.0.1", freePort())),
             seeds,
             new HostPort("127.0.0.1", storePort),
             2,
@@ -201,6 +264,15 @@
     return node;
   }
 
+  // The address is written into the store before the VM listens.
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException("no free port", e);
+    }
+  }
+
   private static <T> Future<T> onContext(Vertx runtime, Supplier<T> step) {
     Promise<T> promise = Promise.promise();
     runtime.getOrCreateContext().runOnContext(run -> promise.complete(step.get()));
