--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -39,12 +39,12 @@
   private final Request request;
   private final ClientAnswer answer;
   private final SendHistory history;
+  private final TurnReservation reservation;
   private final Fingerprint fingerprint;
   private final String service;
   private final Runnable whenOver;
   private final EventCutter events = new EventCutter(MAX_EVENT_BYTES);
   private final long untilMs;
-  private Optional<TurnBudgets.Reservation> reserved = Optional.empty();
   private Buffer buffered = Buffer.buffer();
   private ReplyHead head;
   private MultiMap replyHeaders;
@@ -80,6 +80,7 @@
     this.answer = answer;
     this.whenOver = whenOver;
     this.history = new SendHistory(request.route());
+    this.reservation = new TurnReservation(gateway.budgets(), request.call());
     String key = request.call().programId().orElse(request.call().requestId());
     this.service = request.route().serviceFor(Hashing.fnv1a64(key) >>> 1);
     this.fingerprint =
@@ -100,12 +101,11 @@
       refuse(UNAVAILABLE, "request crashed endpoints", 0);
       return;
     }
-    Optional<Long> budget = request.call().tokenBudget();
-    if (budget.isEmpty() || request.call().programId().isEmpty() || !isStream()) {
+    if (isStream() && reservation.isNeeded()) {
+      reserve();
+    } else {
       dispatch();
-      return;
     }
-    reserve(budget.get());
   }
 
   /** Takes the news that the client has closed its connection. */
@@ -231,30 +231,27 @@
     }
   }
 
-  private void reserve(long budget) {
-    String program = request.call().programId().orElseThrow();
-    gateway
-        .budgets()
-        .reserve(program, budget, request.call().maxOutputTokens())
+  private void reserve() {
+    reservation
+        .reserve()
         .onSuccess(
-            reservation -> {
-              if (reservation.verdict() == TurnBudgets.Verdict.GRANTED) {
-                reserved = Optional.of(reservation);
-                if (over) {
-                  settle();
-                } else {
-                  dispatch();
-                }
-                return;
+            verdict -> {
+              switch (verdict) {
+                case GRANTED -> dispatchOrSettle();
+                case EXHAUSTED -> refuse(PAYMENT_REQUIRED, "token budget spent", 0);
+                default -> refuse(UNAVAILABLE, "token budget not known", RETRY_AFTER_MS);
               }
-              boolean exhausted = reservation.verdict() == TurnBudgets.Verdict.EXHAUSTED;
-              refuse(
-                  exhausted ? PAYMENT_REQUIRED : UNAVAILABLE,
-                  exhausted ? "token budget spent" : "token budget not known",
-                  exhausted ? 0 : RETRY_AFTER_MS);
             });
   }
 
+  private void dispatchOrSettle() {
+    if (over) {
+      settle();
+    } else {
+      dispatch();
+    }
+  }
+
   private void dispatch() {
     if (over) {
       return;
@@ -286,13 +283,7 @@
       send(idle.get());
       return;
     }
-    int accepted =
-        gateway
-            .beliefs()
-            .table()
-            .flatMap(table -> table.service(service))
-            .map(ServiceSpec::maxConnections)
-            .orElse(1);
+    int accepted = spec().map(ServiceSpec::maxConnections).orElse(1);
     gateway
         .connections()
         .open(endpoint, accepted)
@@ -405,20 +396,12 @@
   }
 
   private void settle() {
-    if (reserved.isEmpty()) {
-      return;
-    }
-    TurnBudgets.Reservation reservation = reserved.get();
-    reserved = Optional.empty();
-    int perEvent =
-        gateway
-            .beliefs()
-            .table()
-            .flatMap(table -> table.service(service))
-            .map(ServiceSpec::tokensPerEvent)
-            .orElse(0);
-    long handed = perEvent > 0 ? (long) perEvent * events.events() : reservation.reservedTokens();
-    gateway.budgets().settle(reservation, handed);
+    int perEvent = spec().map(ServiceSpec::tokensPerEvent).orElse(0);
+    reservation.settle(perEvent, events.events());
+  }
+
+  private Optional<ServiceSpec> spec() {
+    return gateway.beliefs().table().flatMap(table -> table.service(service));
   }
 
   private boolean isStream() {
