Decide in an outage first at VMs that know the records, and tell them of each grant

Change: a holder tells the first VM of each data centre at the grant instead of after the turn; a turn without the store is decided by VMs that have read the records since their start, blind only where there is none; a spent program is refused wherever that is known.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -60,11 +60,11 @@
 
   /** Decides on a turn. */
   Future<TurnBudgets.Verdict> reserve(
-      String program, long budgetTokens, long turnTokens, boolean offline) {
-    if (leaving) {
+      String program, long budgetTokens, long turnTokens, TurnBudgets.Mode mode) {
+    if (leaving || (mode == TurnBudgets.Mode.REMEMBERED && !partition.isLoaded())) {
       return Future.succeededFuture(TurnBudgets.Verdict.UNABLE);
     }
-    if (offline) {
+    if (mode != TurnBudgets.Mode.RECORDED) {
       return Future.succeededFuture(
           verdict(partition.reserveOffline(program, budgetTokens, turnTokens, clock.millis())));
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
@@ -35,6 +35,7 @@
   private static final long ASK_MS = AllowanceHolder.WAIT_MS + 50;
 
   private static final Verdict[] VERDICTS = Verdict.values();
+  private static final Mode[] MODES = Mode.values();
 
   private final VmEntry self;
   private final VmRoster roster;
@@ -78,7 +79,7 @@
     if (exhausted.contains(program)) {
       return Future.succeededFuture(reservation(Verdict.EXHAUSTED, turn, self, budgetTokens));
     }
-    return reserveAt(candidates(program), 0, turn, false)
+    return reserveAt(candidates(program), 0, turn, Mode.RECORDED)
         .onSuccess(reservation -> note(reservation, budgetTokens));
   }
 
@@ -91,10 +92,6 @@
 
   @Override
   public void settle(Reservation reservation, long handedTokens) {
-    long used = reservation.usedTokens() - reservation.reservedTokens() + handedTokens;
-    for (VmEntry each : firstOfEachDataCentre(partition(reservation.program()))) {
-      tellUsed(each, reservation.program(), used);
-    }
     if (reservation.holder().isPresent()) {
       peers.tell(
           reservation.holder().get(),
@@ -132,9 +129,19 @@
     return (int) holders.values().stream().filter(AllowanceHolder::isLoaded).count();
   }
 
-  /** Decides on a turn as the holder of its program's budget. */
-  Future<Verdict> reserveHere(String program, long budgetTokens, long turnTokens, boolean offline) {
-    return holder(program).reserve(program, budgetTokens, turnTokens, offline);
+  /** Decides on a turn as the holder of its program's budget, and tells who may decide next. */
+  Future<Verdict> reserveHere(String program, long budgetTokens, long turnTokens, Mode mode) {
+    if (exhausted.contains(program)) {
+      return Future.succeededFuture(Verdict.EXHAUSTED);
+    }
+    return holder(program)
+        .reserve(program, budgetTokens, turnTokens, mode)
+        .onSuccess(
+            verdict -> {
+              if (verdict == Verdict.GRANTED) {
+                tellUsed(program);
+              }
+            });
   }
 
   void settleHere(String program, long reservedTokens, long handedTokens) {
@@ -146,26 +153,31 @@
     holders.values().forEach(AllowanceHolder::release);
   }
 
-  private Future<Reservation> reserveAt(
-      List<VmEntry> candidates, int next, Turn turn, boolean offline) {
+  private Future<Reservation> reserveAt(List<VmEntry> candidates, int next, Turn turn, Mode mode) {
+    if (exhausted.contains(turn.program())) {
+      return Future.succeededFuture(
+          reservation(Verdict.EXHAUSTED, turn, self, turn.budgetTokens()));
+    }
     if (next >= candidates.size()) {
-      return offline
-          ? Future.succeededFuture(reservation(Verdict.UNABLE, turn, self, 0))
-          : reserveAt(candidates(turn.program()), 0, turn, true);
+      return switch (mode) {
+        case RECORDED -> reserveAt(deciders(turn.program()), 0, turn, Mode.REMEMBERED);
+        case REMEMBERED -> reserveAt(deciders(turn.program()), 0, turn, Mode.BLIND);
+        default -> Future.succeededFuture(reservation(Verdict.UNABLE, turn, self, 0));
+      };
     }
     VmEntry candidate = candidates.get(next);
-    return askCandidate(candidate, turn, offline)
+    return askCandidate(candidate, turn, mode)
         .recover(e -> Future.succeededFuture(reservation(Verdict.UNABLE, turn, candidate, 0)))
         .compose(
             reservation ->
                 reservation.verdict() == Verdict.UNABLE
-                    ? reserveAt(candidates, next + 1, turn, offline)
+                    ? reserveAt(candidates, next + 1, turn, mode)
                     : Future.succeededFuture(reservation));
   }
 
-  private Future<Reservation> askCandidate(VmEntry candidate, Turn turn, boolean offline) {
+  private Future<Reservation> askCandidate(VmEntry candidate, Turn turn, Mode mode) {
     if (candidate.vm().equals(self.vm())) {
-      return reserveHere(turn.program(), turn.budgetTokens(), turn.turnTokens(), offline)
+      return reserveHere(turn.program(), turn.budgetTokens(), turn.turnTokens(), mode)
           .map(verdict -> reservation(verdict, turn, self, usedHere(turn.program())));
     }
     long request = peers.nextRequest();
@@ -174,7 +186,7 @@
             candidate.address(),
             request,
             new PeerMessage.AllowanceAsk(
-                request, turn.program(), turn.budgetTokens(), turn.turnTokens(), offline),
+                request, turn.program(), turn.budgetTokens(), turn.turnTokens(), mode.name()),
             ASK_MS)
         .map(
             answer -> {
@@ -183,6 +195,16 @@
             });
   }
 
+  /** Returns the mode of a name; an unknown name asks for the strictest. */
+  static Mode mode(String name) {
+    for (Mode each : MODES) {
+      if (each.name().equals(name)) {
+        return each;
+      }
+    }
+    return Mode.RECORDED;
+  }
+
   private static Verdict verdict(String name) {
     for (Verdict each : VERDICTS) {
       if (each.name().equals(name)) {
@@ -218,11 +240,12 @@
     }
   }
 
-  private void tellUsed(VmEntry vm, String program, long used) {
-    if (vm.vm().equals(self.vm())) {
-      told(program, used);
-    } else {
-      peers.tell(vm.address(), new PeerMessage.AllowanceNote(program, used));
+  private void tellUsed(String program) {
+    long used = usedHere(program);
+    for (VmEntry each : firstOfEachDataCentre(partition(program))) {
+      if (!each.vm().equals(self.vm())) {
+        peers.tell(each.address(), new PeerMessage.AllowanceNote(program, used));
+      }
     }
   }
 
@@ -238,6 +261,11 @@
     return candidates;
   }
 
+  /** Returns the VMs that may decide without the store: the first of each data centre. */
+  private List<VmEntry> deciders(String program) {
+    return new ArrayList<>(firstOfEachDataCentre(partition(program)));
+  }
+
   private List<VmEntry> near(String program) {
     List<VmEntry> near = new ArrayList<>();
     for (VmEntry each : ranked(partition(program))) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
@@ -103,7 +103,8 @@
   public Future<PeerMessage> asked(PeerMessage request) {
     if (request instanceof PeerMessage.AllowanceAsk ask) {
       return allowances
-          .reserveHere(ask.program(), ask.budgetTokens(), ask.turnTokens(), ask.offline())
+          .reserveHere(
+              ask.program(), ask.budgetTokens(), ask.turnTokens(), Allowances.mode(ask.mode()))
           .map(
               verdict ->
                   new PeerMessage.AllowanceReply(
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
@@ -7,6 +7,16 @@
 /** Keeps the token budgets of programs. */
 interface TurnBudgets {
 
+  /** By what a holder decides. */
+  enum Mode {
+    /** By records in the store. */
+    RECORDED,
+    /** From memory, as a holder that has read the records since it started. */
+    REMEMBERED,
+    /** From memory, whatever it knows. */
+    BLIND
+  }
+
   /** What became of a reservation. */
   enum Verdict {
     /** The turn may run. */
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -131,10 +131,9 @@
    * @param program the program
    * @param budgetTokens what all turns of the program may generate
    * @param turnTokens the most that this turn generates
-   * @param offline whether the holder may decide without the store
+   * @param mode the name of what the holder decides by
    */
-  record AllowanceAsk(
-      long request, String program, long budgetTokens, long turnTokens, boolean offline)
+  record AllowanceAsk(long request, String program, long budgetTokens, long turnTokens, String mode)
       implements PeerMessage {}
 
   /**
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -46,7 +46,7 @@
 
   private static Stream<PeerMessage> gatewayMessages() {
     return Stream.of(
-        new PeerMessage.AllowanceAsk(1, "p1", 300, 100, true),
+        new PeerMessage.AllowanceAsk(1, "p1", 300, 100, "RECORDED"),
         new PeerMessage.AllowanceReply(1, "p1", 100, "GRANTED", 160),
         new PeerMessage.AllowanceSettle("p1", 100, 60),
         new PeerMessage.AllowanceNote("p1", 160),
