Keep reading budgets after a read that failed at once, and read bodies on the event loop in tests

Cause: (1) while the store was away, a read of a partition failed at once and stayed noted as the one under way, so the partition was never read again; found by reading the code for a hanging test. (2) The tests' client hung for 20 s beside load, in learnsFromPeer, startsWithoutStore and others: a thread dump showed a request without an answer; the step that reads the body was attached from the test's thread and could come after the answer. Change: (1) the read under way is noted until it ends. (2) The body is asked for on the event loop; conditions that throw end the wait with their cause.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /** Joins one partition of the budgets to the store. Used on one event loop. */
 final class AllowanceHolder {
@@ -113,10 +114,7 @@
     if (partition.isLoaded()) {
       return Future.succeededFuture();
     }
-    if (loading == null) {
-      loading = load().onComplete(done -> loading = null);
-    }
-    return loading;
+    return loadingOnce(this::load);
   }
 
   /** Gives back what was not spent; other holders take over. */
@@ -215,16 +213,29 @@
     if (!partition.isLoaded()) {
       return prepare();
     }
+    return loadingOnce(this::read);
+  }
+
+  // A step that fails at once must not stay the one under way.
+  private Future<Void> loadingOnce(Supplier<Future<Void>> step) {
+    if (health.isOut()) {
+      return Future.failedFuture("the store is away");
+    }
     if (loading == null) {
-      loading = read().onComplete(done -> loading = null);
+      Promise<Void> underWay = Promise.promise();
+      loading = underWay.future();
+      step.get()
+          .onComplete(
+              done -> {
+                loading = null;
+                underWay.handle(done);
+              });
+      return underWay.future();
     }
     return loading;
   }
 
   private Future<Void> load() {
-    if (health.isOut()) {
-      return Future.failedFuture("the store is away");
-    }
     return store
         .newest(TOPIC, number)
         .map(
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
@@ -287,16 +288,15 @@
         .compose(
             request -> {
               headers.forEach(request::putHeader);
-              return request.send();
-            })
-        .compose(
-            response ->
-                response
-                    .body()
-                    .map(
-                        body ->
-                            new Answer(
-                                response.statusCode(), response.headers(), body.toString())));
+              // The body is asked for on the event loop, or it may have passed by.
+              return request.send().compose(GatewayWorld::answer);
+            });
+  }
+
+  private static Future<Answer> answer(HttpClientResponse response) {
+    return response
+        .body()
+        .map(body -> new Answer(response.statusCode(), response.headers(), body.toString()));
   }
 
   void close() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/support/Await.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/support/Await.java
@@ -53,8 +53,12 @@
     ScheduledFuture<?> checks =
         CHECKS.scheduleWithFixedDelay(
             () -> {
-              if (condition.getAsBoolean()) {
-                held.complete(null);
+              try {
+                if (condition.getAsBoolean()) {
+                  held.complete(null);
+                }
+              } catch (RuntimeException | AssertionError e) {
+                held.completeExceptionally(e);
               }
             },
             0,
