Count a closed connection to an endpoint as closed

Cause: each send replaced the close handler that the set of connections had put on the connection, so a connection that closed after it had carried a request stayed counted as open. Change: the connection has one close handler; a send registers what it does there, and a connection that is put back forgets it. Excluded: the share itself; with 64 connections at a lone VM the 65th lost answer was followed by 503. Before: GatewayTest.closedConnectionsAreNotCounted 503 after 64 lost answers.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
@@ -8,6 +8,7 @@
 
   private final EndpointEntry endpoint;
   private final HttpClientConnection connection;
+  private Runnable whenClosed = () -> {};
   private boolean closed;
   private boolean reused;
   private long reusableUntilMs;
@@ -29,8 +30,14 @@
     return closed;
   }
 
+  /** Sets what a request on the connection does when it closes; the last one set counts. */
+  void whenClosed(Runnable newWhenClosed) {
+    whenClosed = newWhenClosed;
+  }
+
   void markClosed() {
     closed = true;
+    whenClosed.run();
   }
 
   /** Returns whether the connection has carried a request before. */
@@ -40,6 +47,7 @@
 
   void keepUntil(long untilMs) {
     reused = true;
+    whenClosed = () -> {};
     reusableUntilMs = untilMs;
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnections.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnections.java
@@ -109,9 +109,9 @@
               connection.exceptionHandler(e -> close(made));
               connection.closeHandler(
                   closed -> {
-                    made.markClosed();
                     pool.open--;
                     pool.idle.remove(made);
+                    made.markClosed();
                   });
               return made;
             });
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Send.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Send.java
@@ -80,13 +80,7 @@
     heardAtMs = sentAtMs;
     gateway.loads().opened(endpoint().id());
     gateway.watchdog().add(this);
-    connection
-        .connection()
-        .closeHandler(
-            closed -> {
-              connection.markClosed();
-              brokenOff("connection closed");
-            });
+    connection.whenClosed(() -> brokenOff("connection closed"));
     RequestOptions options = new RequestOptions().setMethod(content.method()).setURI(content.uri());
     connection
         .connection()
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -109,6 +109,18 @@
       assertEquals(1, world.allRan().size());
     }
 
+    @Test
+    @DisplayName("serves on after an endpoint has closed more connections than it accepts at once")
+    void closedConnectionsAreNotCounted() {
+      world.drainFirst();
+      for (int i = 0; i < GatewayWorld.MAX_CONNECTIONS; i++) {
+        world.second().then(Behaviour.ANSWER_LOST);
+        assertEquals(502, world.call("POST", "/unsafe/x", Map.of()).status());
+      }
+
+      assertEquals(200, world.call("POST", "/unsafe/x", Map.of()).status());
+    }
+
     @Test
     @DisplayName("repeats an idempotent call whose answer is lost")
     void idempotentAgain() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -30,6 +30,9 @@
 /** A VM, the platform's store and two endpoints in one process. */
 final class GatewayWorld {
 
+  /** Connections that an endpoint accepts at once. */
+  static final int MAX_CONNECTIONS = 64;
+
   private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
   private static final SplittableRandom SEEDS = new SplittableRandom(7);
 
@@ -106,8 +109,9 @@
         "keyed.op",
         "config",
         "{\"version\":%d,\"routes\":[%s],".formatted(version, routes)
-            + "\"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_conns\":64,"
-            + "\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]}");
+            + "\"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_conns\":"
+            + MAX_CONNECTIONS
+            + ",\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]}");
   }
 
   private static String route(
