--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowancePartitionTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowancePartitionTest.java
@@ -85,7 +85,8 @@
       holder.load(List.of(), 0, 0);
       int granted = 0;
       Decision decision = reserve(holder);
-      while (decision != Decision.EXHAUSTED) {
+      for (int asked = 0; decision != Decision.EXHAUSTED; asked++) {
+        assertTrue(asked < 100, "still granted after " + granted + " turns");
         if (decision == Decision.GRANTED) {
           granted++;
           holder.settle(PROGRAM, TURN, TURN / 4, 0);
