Archive the classes that serving loads, not only those of a start

The class archive was made by a VM without store and endpoints, so the classes that read configurations, forward requests and speak to peers were loaded and verified from the jar while it started. Change: the build lets two VMs serve sixty requests in front of the stand-ins and archives at the stop of one.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonCommand.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonCommand.java
@@ -34,13 +34,6 @@
           "Serve clients on the platform; the variable MAGNOLIAROUTE_SETTINGS names the settings")
   boolean platform;
 
-  @Option(
-      name = "--load-classes",
-      description =
-          "With --platform: load the classes that serving needs and end. Run it with"
-              + " -XX:ArchiveClassesAtExit=FILE to make a class archive for quick starts")
-  boolean loadClasses;
-
   @Option(
       name = "--http",
       title = "HOST:PORT",
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/DaemonMain.java
@@ -59,11 +59,7 @@
         return;
       }
       System.setProperty("logback.configurationFile", "logback-platform.xml");
-      if (command.loadClasses) {
-        PlatformMain.loadClasses();
-      } else {
-        PlatformMain.run();
-      }
+      PlatformMain.run();
       return;
     }
     if (command.standalone == (command.settingsFile != null)) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PlatformMain.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PlatformMain.java
@@ -32,11 +32,6 @@
 
   private PlatformMain() {}
 
-  /** Loads the classes that serving needs and ends the process. */
-  public static void loadClasses() {
-    ClassLoading.run(runtime());
-  }
-
   private static Vertx runtime() {
     return Vertx.vertx(
         new VertxOptions()
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -7,6 +7,7 @@
 
 import io.magnoliaroute.daemon.gateway.GatewayWorld.Answer;
 import io.magnoliaroute.daemon.support.Await;
+import io.magnoliaroute.standin.users.StandInConfiguration;
 import io.magnoliaroute.standin.users.StandInEndpoint;
 import io.magnoliaroute.standin.users.StandInEndpoint.Behaviour;
 import io.magnoliaroute.standin.users.StandInStore;
@@ -113,7 +114,7 @@
     @DisplayName("serves on after an endpoint has closed more connections than it accepts at once")
     void closedConnectionsAreNotCounted() {
       world.drainFirst();
-      for (int i = 0; i < GatewayWorld.MAX_CONNECTIONS; i++) {
+      for (int i = 0; i < StandInConfiguration.MAX_CONNECTIONS; i++) {
         world.second().then(Behaviour.ANSWER_LOST);
         assertEquals(502, world.call("POST", "/unsafe/x", Map.of()).status());
       }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -5,6 +5,7 @@
 import io.magnoliaroute.daemon.lifecycle.SteadyClock;
 import io.magnoliaroute.daemon.support.Await;
 import io.magnoliaroute.platform.BootSettings;
+import io.magnoliaroute.standin.users.StandInConfiguration;
 import io.magnoliaroute.standin.users.StandInEndpoint;
 import io.magnoliaroute.standin.users.StandInStore;
 import io.vertx.core.Future;
@@ -32,9 +33,6 @@
 /** A VM, the platform's store and two endpoints in one process. */
 final class GatewayWorld {
 
-  /** Connections that an endpoint accepts at once. */
-  static final int MAX_CONNECTIONS = 64;
-
   private static final Pattern LOST_PEERS = Pattern.compile("peers_lost\\S* (\\d+)");
   private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
   private static final SplittableRandom SEEDS = new SplittableRandom(7);
@@ -96,32 +94,7 @@
   }
 
   void publish(long version, String extraPrefix) {
-    String routes =
-        route("safe", "/safe/", "safe", 2_000, 1, false)
-            + ","
-            + route("extra", extraPrefix, "safe", 2_000, 1, false)
-            + ","
-            + route("brief", "/brief/", "safe", 200, 1, false)
-            + ","
-            + route("unsafe", "/unsafe/", "unsafe", 2_000, 1, false)
-            + ","
-            + route("stream", "/stream/", "stream", 4_000, 1, true)
-            + ","
-            + route("plainstream", "/plainstream/", "stream", 4_000, 1, false);
-    store.put(
-        "keyed.op",
-        "config",
-        "{\"version\":%d,\"routes\":[%s],".formatted(version, routes)
-            + "\"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_conns\":"
-            + MAX_CONNECTIONS
-            + ",\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]}");
-  }
-
-  private static String route(
-      String name, String prefix, String kind, int timeoutMs, int attempts, boolean resume) {
-    return ("{\"name\":\"%s\",\"host\":\"h\",\"path_prefix\":\"%s\",\"kind\":\"%s\","
-            + "\"timeout_ms\":%d,\"service\":\"s\",\"attempts\":%d,\"can_resume\":%b}")
-        .formatted(name, prefix, kind, timeoutMs, attempts, resume);
+    store.put("keyed.op", "config", StandInConfiguration.of(version, extraPrefix));
   }
 
   void drainFirst() {
--- /dev/null
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/Rehearsal.java
@@ -0,0 +1,202 @@
+package io.magnoliaroute.standin.users;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * Lets two VMs serve a few requests in front of the stand-ins and stops them, so that the Java
+ * runtime of the first one can archive the classes that serving loads. A start from the archive
+ * loads few classes more.
+ */
+public final class Rehearsal {
+
+  private static final String SETTINGS_VARIABLE = "MAGNOLIAROUTE_SETTINGS";
+  private static final String ARCHIVE_OPTION = "-XX:ArchiveClassesAtExit";
+  private static final int ROUNDS = 20;
+  private static final int BUDGET_TOKENS = 1_000;
+
+  /** A start takes about a second on an idle machine; builds may run on a busy one. */
+  private static final long START_LIMIT_MS = 60_000;
+
+  private static final long STOP_LIMIT_MS = 60_000;
+  private static final long POLL_MS = 50;
+  private static final int READY = 200;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpClient client = vertx.createHttpClient();
+  private int requests;
+
+  private record Vm(Process process, int clientPort, int readyPort) {}
+
+  private Rehearsal() {}
+
+  /**
+   * Runs the rehearsal and ends with the code of the first VM.
+   *
+   * @param command the command that starts a VM
+   */
+  public static void main(String[] command) throws Exception {
+    Rehearsal rehearsal = new Rehearsal();
+    int code = 1;
+    try {
+      code = rehearsal.run(List.of(command));
+    } finally {
+      await(rehearsal.vertx.close());
+    }
+    System.exit(code);
+  }
+
+  private int run(List<String> command) throws Exception {
+    StandInStore store = new StandInStore(vertx);
+    int storePort = await(store.start());
+    store.put("keyed.op", "config", StandInConfiguration.of(1, "/other/"));
+    for (String id : List.of("e1", "e2")) {
+      StandInEndpoint endpoint = new StandInEndpoint(vertx, id);
+      await(endpoint.start());
+      store.put("keyed.servers", id, endpoint.entry(StandInConfiguration.SERVICE, "ready", 1));
+    }
+    List<String> withoutArchive = new ArrayList<>(command);
+    withoutArchive.removeIf(word -> word.startsWith(ARCHIVE_OPTION));
+    Vm second = start(withoutArchive, storePort, "vm-2");
+    Vm first = start(command, storePort, "vm-1");
+    try {
+      awaitReady(second);
+      awaitReady(first);
+      for (int round = 0; round < ROUNDS; round++) {
+        serve(first.clientPort());
+        serve(second.clientPort());
+      }
+    } finally {
+      stop(second);
+      stop(first);
+    }
+    return first.process().exitValue();
+  }
+
+  private Vm start(List<String> command, int storePort, String name) throws IOException {
+    int clientPort = freePort();
+    int readyPort = freePort();
+    Map<String, Object> settings =
+        Map.of(
+            "node",
+            name,
+            "zone",
+            "dc",
+            "listen",
+            Map.of(
+                "front",
+                local(clientPort),
+                "ready",
+                local(readyPort),
+                "control",
+                local(freePort())),
+            "provider",
+            Map.of("addr", local(storePort), "parts", 2),
+            "bootstrap",
+            true,
+            "bounds",
+            Map.of("grace_s", 1));
+    Path file = Files.createTempFile("rehearsal", ".json");
+    file.toFile().deleteOnExit();
+    Files.write(file, new ObjectMapper().writeValueAsBytes(settings));
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.environment().put(SETTINGS_VARIABLE, file.toString());
+    builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+    builder.redirectError(ProcessBuilder.Redirect.INHERIT);
+    return new Vm(builder.start(), clientPort, readyPort);
+  }
+
+  private void serve(int port) throws Exception {
+    await(send(port, HttpMethod.GET, "/safe/x", Map.of()));
+    await(send(port, HttpMethod.POST, "/unsafe/x", Map.of("X-Deadline-Ms", "1500")));
+    await(
+        send(
+            port,
+            HttpMethod.POST,
+            "/stream/x",
+            Map.of(
+                "X-Program-Id",
+                "p" + requests,
+                "X-Session-Id",
+                "s" + requests,
+                "X-Token-Budget",
+                String.valueOf(BUDGET_TOKENS),
+                "X-Token-Usage",
+                "10,100")));
+  }
+
+  private void awaitReady(Vm vm) throws Exception {
+    for (long waitedMs = 0; waitedMs < START_LIMIT_MS; waitedMs += POLL_MS) {
+      int status =
+          await(
+              send(vm.readyPort(), HttpMethod.GET, "/-/ready", Map.of())
+                  .recover(notYet -> Future.succeededFuture(0)));
+      if (status == READY) {
+        return;
+      }
+      Thread.sleep(POLL_MS);
+    }
+    throw new TimeoutException("the VM was not ready within " + START_LIMIT_MS + " ms");
+  }
+
+  private Future<Integer> send(
+      int port, HttpMethod method, String path, Map<String, String> headers) {
+    String id = String.valueOf(++requests);
+    return client
+        .request(
+            new RequestOptions().setHost("127.0.0.1").setPort(port).setMethod(method).setURI(path))
+        .compose(
+            request -> {
+              headers.forEach(request::putHeader);
+              request.putHeader("Host", StandInConfiguration.HOST).putHeader("X-Request-Id", id);
+              return answer(request);
+            });
+  }
+
+  private static Future<Integer> answer(HttpClientRequest request) {
+    return request
+        .send("x")
+        .compose(response -> response.body().map(body -> response.statusCode()));
+  }
+
+  private static void stop(Vm vm) throws InterruptedException {
+    vm.process().destroy();
+    if (!vm.process().waitFor(STOP_LIMIT_MS, TimeUnit.MILLISECONDS)) {
+      vm.process().destroyForcibly().waitFor();
+    }
+  }
+
+  private static String local(int port) {
+    return "127.0.0.1:" + port;
+  }
+
+  // The address is written into the settings before the VM listens.
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static <T> T await(Future<T> future)
+      throws InterruptedException, ExecutionException, TimeoutException {
+    return future
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(START_LIMIT_MS, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandInConfiguration.java
@@ -0,0 +1,50 @@
+package io.magnoliaroute.standin.users;
+
+import java.util.List;
+
+/** The operator's configuration that stand-in days use: routes of each kind, one service. */
+public final class StandInConfiguration {
+
+  /** The host of all routes. */
+  public static final String HOST = "h";
+
+  /** The service of all routes. */
+  public static final String SERVICE = "s";
+
+  /** Connections that an endpoint accepts at once. */
+  public static final int MAX_CONNECTIONS = 64;
+
+  private static final int CALL_TIMEOUT_MS = 2_000;
+  private static final int BRIEF_TIMEOUT_MS = 200;
+  private static final int STREAM_TIMEOUT_MS = 4_000;
+
+  private StandInConfiguration() {}
+
+  /**
+   * Returns the record's text.
+   *
+   * @param version the configuration's version
+   * @param extraPrefix the path of a further route for repeatable calls
+   */
+  public static String of(long version, String extraPrefix) {
+    List<String> routes =
+        List.of(
+            route("safe", "/safe/", "safe", CALL_TIMEOUT_MS, false),
+            route("extra", extraPrefix, "safe", CALL_TIMEOUT_MS, false),
+            route("brief", "/brief/", "safe", BRIEF_TIMEOUT_MS, false),
+            route("unsafe", "/unsafe/", "unsafe", CALL_TIMEOUT_MS, false),
+            route("stream", "/stream/", "stream", STREAM_TIMEOUT_MS, true),
+            route("plainstream", "/plainstream/", "stream", STREAM_TIMEOUT_MS, false));
+    return ("{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"%s\","
+            + "\"health_path\":\"/h\",\"max_conns\":%d,"
+            + "\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]}")
+        .formatted(version, String.join(",", routes), SERVICE, MAX_CONNECTIONS);
+  }
+
+  private static String route(
+      String name, String prefix, String kind, int timeoutMs, boolean canResume) {
+    return ("{\"name\":\"%s\",\"host\":\"%s\",\"path_prefix\":\"%s\",\"kind\":\"%s\","
+            + "\"timeout_ms\":%d,\"service\":\"%s\",\"attempts\":1,\"can_resume\":%b}")
+        .formatted(name, HOST, prefix, kind, timeoutMs, SERVICE, canResume);
+  }
+}
