Test the crash guard across VMs and a stop under load

Cause: docs/platform.md listed both as untested. Change: a request that crashes three endpoints through one VM is refused by both, without an endpoint, while others are served; every call that arrives while a VM stops is answered with 200 until it has stopped.

--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -346,10 +346,43 @@
     }
   }
 
+  @Nested
+  @DisplayName("beside a VM that saw a request crash three endpoints")
+  class CrashedElsewhere {
+
+    @Test
+    @DisplayName("refuses the request without an endpoint and serves others")
+    void refuses() {
+      world.startSecondVm();
+      Await.until("ready", () -> world.secondReady() == 200);
+      Await.until(
+          "both know both", () -> world.vm().knownVms() == 2 && world.secondVm().knownVms() == 2);
+      world.startThirdAndCrashAll();
+      world.call("GET", "/safe/poison", Map.of());
+      assertEquals(3, world.allRan().size());
+      world.restartFirst();
+      Await.until("the endpoint serves", () -> world.callSecond("/safe/sound").status() == 200);
+      int ran = world.allRan().size();
+
+      assertEquals(503, world.callSecond("/safe/poison").status());
+      assertEquals(503, world.call("GET", "/safe/poison", Map.of()).status());
+      assertEquals(ran, world.allRan().size());
+    }
+  }
+
   @Nested
   @DisplayName("that is stopped")
   class Stopping {
 
+    @Test
+    @DisplayName("answers every request that arrives until it has stopped")
+    void underLoad() {
+      List<Integer> statuses = world.callsWhileStopping(8);
+
+      assertTrue(statuses.size() >= 8, "only " + statuses.size() + " requests were sent");
+      assertEquals(List.of(200), statuses.stream().distinct().toList());
+    }
+
     @Test
     @DisplayName("is not ready at once and still answers requests that arrive")
     void notReady() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -44,6 +44,7 @@
   private final StandInStore refusingStore = new StandInStore(secondRuntime);
   private final StandInEndpoint first = new StandInEndpoint(vertx, "e1");
   private final StandInEndpoint second = new StandInEndpoint(vertx, "e2");
+  private final StandInEndpoint third = new StandInEndpoint(vertx, "e3");
   private final int storePort;
   private Vertx vmRuntime = Vertx.vertx();
   private GatewayNode vm;
@@ -79,6 +80,7 @@
   List<String> allRan() {
     List<String> all = new ArrayList<>(first.ran());
     all.addAll(second.ran());
+    all.addAll(third.ran());
     return all;
   }
 
@@ -97,6 +99,22 @@
     store.put("keyed.op", "config", StandInConfiguration.of(version, extraPrefix));
   }
 
+  /** Starts a third endpoint; all three crash when they run their next request. */
+  void startThirdAndCrashAll() {
+    Await.result(third.start());
+    store.put("keyed.servers", "e3", third.entry("s", "ready", 1));
+    awaitUsable(3);
+    for (StandInEndpoint each : List.of(first, second, third)) {
+      each.then(StandInEndpoint.Behaviour.CRASHES);
+    }
+  }
+
+  /** Starts an endpoint that has crashed again, at another address. */
+  void restartFirst() {
+    Await.result(first.start());
+    store.put("keyed.servers", "e1", first.entry("s", "ready", 2));
+  }
+
   void drainFirst() {
     store.put("keyed.servers", "e1", first.entry("s", "draining", 2));
     awaitUsable(1);
@@ -233,6 +251,24 @@
     vm.stop();
   }
 
+  /** Stops the VM while clients call without a pause, and returns what they got. */
+  List<Integer> callsWhileStopping(int clients) {
+    Future<Void> stopped = vm.stop();
+    List<Future<Answer>> open = new ArrayList<>();
+    List<Integer> statuses = new ArrayList<>();
+    while (!stopped.isComplete()) {
+      for (int i = 0; i < clients; i++) {
+        Map<String, String> headers =
+            new HashMap<>(Map.of("X-Request-Id", String.valueOf(++requests), "Host", "h"));
+        String path = i % 2 == 0 ? "/unsafe/x" : "/stream/x";
+        open.add(send(vm.clientPort(), HttpMethod.POST, path, headers));
+      }
+      open.forEach(each -> statuses.add(Await.result(each).status()));
+      open.clear();
+    }
+    return statuses;
+  }
+
   private static GatewayNode startVm(
       Vertx runtime, int storePort, String name, String dataCentre, List<HostPort> seeds) {
     BootSettings settings =
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandInEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandInEndpoint.java
@@ -36,6 +36,8 @@
     SOUND,
     /** It runs the request and closes the connection without an answer. */
     ANSWER_LOST,
+    /** It runs the request, closes its connections and accepts no more. */
+    CRASHES,
     /** It refuses the request as not run. */
     FULL,
     /** It stops a stream in the middle of an event. */
@@ -125,6 +127,7 @@
     response.putHeader("X-Server-Load", "1,0,8,100");
     switch (behaviour) {
       case ANSWER_LOST -> request.connection().close();
+      case CRASHES -> crash();
       case HANGS ->
           request
               .connection()
