Pass over the neighbours of a lost endpoint until they accept a connection

Change: while an endpoint is probed because a neighbour was lost, it costs 500 ms more in the choice, what a send to a lost endpoint waits. Excluded: detection itself (0.3 s of silence, then 0.25 s for a connection). Before: EndpointPickerTest.doubted chose the neighbour. After: passes.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointLoads.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointLoads.java
@@ -31,6 +31,7 @@
     private long reportedAtMs = Long.MIN_VALUE / 2;
     private int failures;
     private boolean lost;
+    private boolean doubted;
     private long probeAtMs;
     private long fullUntilMs = Long.MIN_VALUE;
   }
@@ -69,6 +70,7 @@
     Load load = load(endpoint);
     load.failures = 0;
     load.lost = false;
+    load.doubted = false;
   }
 
   /**
@@ -81,10 +83,24 @@
     long pauseMs = FIRST_PROBE_MS << Math.min(load.failures, MAX_DOUBLINGS);
     load.failures++;
     load.lost = true;
+    load.doubted = false;
     load.probeAtMs = nowMs + Math.min(MAX_PROBE_MS, pauseMs);
     return news;
   }
 
+  /**
+   * Notes that a probe of the endpoint is under way because another one of its data centre was
+   * lost; its end is told by {@link #answered} or {@link #lost}.
+   */
+  public void doubted(EndpointId endpoint) {
+    load(endpoint).doubted = true;
+  }
+
+  /** Returns whether the endpoint may be lost too; a probe will tell. */
+  public boolean isDoubted(EndpointId endpoint) {
+    return load(endpoint).doubted;
+  }
+
   /** Returns whether the endpoint is lost and has to be probed now. */
   public boolean isProbeDue(EndpointId endpoint, long nowMs) {
     Load load = load(endpoint);
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointPicker.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointPicker.java
@@ -10,9 +10,10 @@
  * Places a request on the endpoint where it should end first.
  *
  * <p>Load that this answers: demand peaks that fill single endpoints, endpoints that are slow for
- * moments, endpoints that do not hold a prompt's prefix, and endpoints that were lost before the
- * platform's list says so. A service is never left without an endpoint: when all are lost, they are
- * all tried.
+ * moments, endpoints that do not hold a prompt's prefix, endpoints that were lost before the
+ * platform's list says so, and data centres that are cut off: when one endpoint is lost, the others
+ * of its data centre are in doubt until they accept a connection. A service is never left without
+ * an endpoint: when all are lost, they are all tried.
  */
 public final class EndpointPicker {
 
@@ -25,6 +26,9 @@
   /** Cost of a request that leaves its data centre: two passes of the link and its traffic. */
   static final double OTHER_DATA_CENTRE_MS = 15;
 
+  /** Cost of an endpoint in doubt: what a send to a lost one waits until it is given up. */
+  static final double DOUBTED_MS = 500;
+
   /** Spreads VMs with the same view, so that they do not all choose one endpoint. */
   static final double SPREAD_MS = 6;
 
@@ -98,6 +102,9 @@
     if (loads.isFull(endpoint.id(), nowMs)) {
       costMs += workMs;
     }
+    if (loads.isDoubted(endpoint.id())) {
+      costMs += DOUBTED_MS;
+    }
     if (!endpoint.dataCentre().equals(dataCentre)) {
       costMs += OTHER_DATA_CENTRE_MS;
     }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointPickerTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointPickerTest.java
@@ -72,6 +72,28 @@
     assertAllGoTo(second);
   }
 
+  @Test
+  @DisplayName("passes over the neighbours of a lost endpoint until they accept a connection")
+  void doubted() {
+    EndpointEntry elsewhere = add("e3", "there");
+    loads.lost(first.id(), 0);
+    loads.doubted(second.id());
+
+    assertAllGoTo(elsewhere);
+
+    loads.answered(second.id());
+    assertAllGoTo(second);
+  }
+
+  @Test
+  @DisplayName("uses an endpoint in doubt where there is no other")
+  void onlyDoubted() {
+    loads.lost(first.id(), 0);
+    loads.doubted(second.id());
+
+    assertAllGoTo(second);
+  }
+
   @Test
   @DisplayName("returns to an endpoint whose slow moment was reported long ago")
   void slowLongAgo() {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Reachability.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Reachability.java
@@ -110,6 +110,7 @@
   private void probeUnlessFresh(EndpointEntry endpoint) {
     long probedMs = probedAtMs.getOrDefault(endpoint.id(), Long.MIN_VALUE / 2);
     if (!loads.isLost(endpoint.id()) && clock.millis() - probedMs >= FRESH_MS) {
+      loads.doubted(endpoint.id());
       probe(endpoint);
     }
   }
