--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmRoster.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmRoster.java
@@ -94,13 +94,13 @@
       VmId vm = new VmId(record.key());
       if (record.value().isEmpty()) {
         if (!vm.equals(self.vm()) && vms.remove(vm) != null) {
-          log.line("vm_left").put("vm", vm.value()).write();
+          log.line("vm_left").put("peer", vm.value()).write();
         }
         return Optional.empty();
       }
       VmEntry entry = VmEntry.decode(record.key(), record.value().get());
       if (!vm.equals(self.vm()) && !entry.equals(vms.put(vm, entry))) {
-        log.line("vm_joined").put("vm", vm.value()).put("at", entry.address().toString()).write();
+        log.line("vm_joined").put("peer", vm.value()).put("at", entry.address().toString()).write();
       }
       return Optional.of(entry);
     } catch (MalformedRecordException | IllegalArgumentException e) {
