Decide on a turn from memory only at a VM that tried the store in vain

Cause: the asking VM chose whether a budget is decided from memory. When it could not reach the holder in a cut data centre, or its own calls of the store were slow, it asked the next VMs to decide from memory, though they reached the store. Change: a VM asked to decide from memory records the turn unless its own calls of the store failed for 0.1 s or have been open as long; a turn that waited in vain for a call marks the store as slow. Excluded: slices (the bound holds in AllowanceSequencesTest). Before: GatewayTest.recordsForPeer WITHHELD at the second turn, which is how a turn without a record ends. After: three turns, spent after a restart.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -30,6 +30,7 @@
   private static final long MAX_AGE_MS = 1_000;
 
   private static final long RETRY_MS = 50;
+  private static final long NO_CALL = -1;
 
   private final Vertx vertx;
   private final StoreClient store;
@@ -40,6 +41,7 @@
   private final AllowancePartition partition;
   private final List<Runnable> waiting = new ArrayList<>();
   private Future<Void> loading;
+  private long callBeganMs = NO_CALL;
   private boolean leaving;
 
   AllowanceHolder(
@@ -59,20 +61,26 @@
     this.partition = new AllowancePartition(holder);
   }
 
-  /** Decides on a turn. */
+  /**
+   * Decides on a turn. From memory only if this VM has tried the store in vain, whatever the asking
+   * VM found: two sides of a cut that both decide from memory hand out two turns too many.
+   */
   Future<TurnBudgets.Verdict> reserve(
       String program, long budgetTokens, long turnTokens, TurnBudgets.Mode mode) {
-    if (leaving || (mode == TurnBudgets.Mode.REMEMBERED && !partition.isLoaded())) {
+    if (leaving) {
       return Future.succeededFuture(TurnBudgets.Verdict.UNABLE);
     }
-    if (mode != TurnBudgets.Mode.RECORDED) {
+    if (mode != TurnBudgets.Mode.RECORDED && health.isImpaired()) {
+      if (mode == TurnBudgets.Mode.REMEMBERED && !partition.isLoaded()) {
+        return Future.succeededFuture(TurnBudgets.Verdict.UNABLE);
+      }
       Decision decision =
           partition.reserveOffline(program, budgetTokens, turnTokens, clock.millis());
       return Future.succeededFuture(
           decision == Decision.WAIT ? TurnBudgets.Verdict.WITHHELD : verdict(decision));
     }
     Promise<TurnBudgets.Verdict> promise = Promise.promise();
-    long timer = vertx.setTimer(WAIT_MS, fired -> promise.tryComplete(TurnBudgets.Verdict.UNABLE));
+    long timer = vertx.setTimer(WAIT_MS, fired -> waitedInVain(promise));
     current(program)
         .onSuccess(ready -> decide(program, budgetTokens, turnTokens, promise))
         .onFailure(e -> promise.tryComplete(TurnBudgets.Verdict.UNABLE));
@@ -148,6 +156,24 @@
     append();
   }
 
+  private void waitedInVain(Promise<TurnBudgets.Verdict> promise) {
+    if (callBeganMs != NO_CALL) {
+      health.took(clock.millis() - callBeganMs);
+    }
+    promise.tryComplete(TurnBudgets.Verdict.UNABLE);
+  }
+
+  private <T> Future<T> timed(Future<T> call) {
+    long beganMs = clock.millis();
+    callBeganMs = beganMs;
+    return call.onComplete(
+        done -> {
+          if (callBeganMs == beganMs) {
+            callBeganMs = NO_CALL;
+          }
+        });
+  }
+
   private static TurnBudgets.Verdict verdict(Decision decision) {
     return switch (decision) {
       case GRANTED -> TurnBudgets.Verdict.GRANTED;
@@ -163,12 +189,12 @@
     }
     AllowancePartition.Append append = next.get();
     long beganMs = clock.millis();
-    store
-        .append(
-            TOPIC,
-            number,
-            Optional.of(append.expectedEnd()),
-            records(append.grants(), append.drops()))
+    timed(
+            store.append(
+                TOPIC,
+                number,
+                Optional.of(append.expectedEnd()),
+                records(append.grants(), append.drops())))
         .onComplete(done -> health.took(clock.millis() - beganMs))
         .onSuccess(
             end -> {
@@ -236,8 +262,7 @@
   }
 
   private Future<Void> load() {
-    return store
-        .newest(TOPIC, number)
+    return timed(store.newest(TOPIC, number))
         .map(
             newest -> {
               partition.load(grants(newest.records()), newest.end(), clock.millis());
@@ -254,8 +279,7 @@
     if (health.isOut()) {
       return Future.failedFuture("the store is away");
     }
-    return store
-        .read(TOPIC, number, partition.end(), 0)
+    return timed(store.read(TOPIC, number, partition.end(), 0))
         .map(
             page -> {
               partition.read(grants(page.records()), page.nextOffset(), clock.millis());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -284,6 +284,10 @@
     return peerPort;
   }
 
+  Allowances allowances() {
+    return allowances;
+  }
+
   int knownVms() {
     return roster.size();
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
@@ -11,6 +11,9 @@
   /** A call that took this long shows a slowed store; the usual answer takes a few ms. */
   private static final long SLOW_MS = 100;
 
+  /** Failures for longer than this are no single lost answer; a turn waits no longer. */
+  private static final long IMPAIRED_AFTER_MS = 100;
+
   /** How long a slow call counts; pending records are tried more often than this. */
   private static final long SLOW_LIFE_MS = 1_000;
 
@@ -70,6 +73,13 @@
     return isOut() || clock.millis() - slowSeenMs < SLOW_LIFE_MS;
   }
 
+  /** Returns whether this VM has just tried the store in vain. */
+  boolean isImpaired() {
+    boolean failing =
+        failingSinceMs != Long.MAX_VALUE && clock.millis() - failingSinceMs >= IMPAIRED_AFTER_MS;
+    return failing || isOutOrSlow();
+  }
+
   /** Returns whether the store is away now. */
   boolean isOut() {
     return failingSinceMs != Long.MAX_VALUE && clock.millis() - failingSinceMs >= OUTAGE_AFTER_MS;
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -322,6 +322,19 @@
       assertTrue(100 * served <= 300 + 100, served + " turns of 100 for a budget of 300");
     }
 
+    @Test
+    @DisplayName("records a turn that a peer without the store asks for, if it reaches the store")
+    void recordsForPeer() {
+      Await.until("records are read", () -> world.vm().allowances().loadedPartitions() == 2);
+      for (int turn = 0; turn < 3; turn++) {
+        assertEquals(TurnBudgets.Verdict.GRANTED, world.askFromMemory("p1", 300, 100));
+      }
+      world.restartVm();
+      Await.until("ready", () -> world.ready() == 200);
+
+      assertEquals(402, world.turn("p1", 300, 100).status());
+    }
+
     @Test
     @DisplayName("applies a newer configuration within two seconds though the store refuses it")
     void configurationFromPeer() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -215,6 +215,15 @@
     return vm;
   }
 
+  /** Decides on a turn as a peer without the store asks for it. */
+  TurnBudgets.Verdict askFromMemory(String program, long budget, long most) {
+    Future<Future<TurnBudgets.Verdict>> asked =
+        onContext(
+            vmRuntime,
+            () -> vm.allowances().reserveHere(program, budget, most, TurnBudgets.Mode.REMEMBERED));
+    return Await.result(asked.compose(verdict -> verdict));
+  }
+
   GatewayNode secondVm() {
     return secondVm;
   }
