Let neighbours know what was granted from memory, and stand in for a stopping VM

(1) The first VM of a partition that stops answers UNABLE, and nobody else of its data centre was asked: 31 turns of programs with budgets of 2,700 to 12,400 were refused. (2) What it had granted from memory was known to no neighbour, so its successor granted one more turn from memory: each stop in a cut is a turn more. Change: the first two VMs of the data centre read the records at their start and are told after each turn; all VMs of the data centre are told of a turn from memory; and all that have read the records are asked, in order, before one decides without. Before: GatewayTest.neighbourDied and neighbourStops fail (the second VM reads no records). After: both pass.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,11 +22,12 @@
 /**
  * Finds the holder of a program's budget: the first VM in the order of rendezvous hashing that can
  * be reached and reaches the store. The first VM of each data centre in that order is told what is
- * used, so that it can decide from memory when its data centre is cut off. Used on one event loop.
+ * used, so that it can decide from memory when its data centre is cut off; so are those that follow
+ * it when it stops or dies meanwhile. Used on one event loop.
  */
 final class Allowances implements TurnBudgets {
 
-  /** VMs of this data centre that are asked after the first of all. */
+  /** VMs of this data centre that are asked after the first of all, and know what is used. */
   private static final int NEAR_CANDIDATES = 2;
 
   /** Programs that spent their budget and are remembered; some hours of today's. */
@@ -120,7 +122,7 @@
    */
   void tend() {
     for (int partition = 0; partition < partitions; partition++) {
-      if (firstOfEachDataCentre(partition).contains(self)) {
+      if (near(partition, NEAR_CANDIDATES).contains(self)) {
         holders.computeIfAbsent(partition, makeHolder::apply).prepare();
       }
     }
@@ -141,7 +143,7 @@
         .onSuccess(
             verdict -> {
               if (verdict == Verdict.GRANTED) {
-                tellUsed(program);
+                tellUsed(program, mode);
               }
             });
   }
@@ -162,7 +164,7 @@
     }
     if (next >= candidates.size()) {
       return switch (mode) {
-        case RECORDED -> reserveAt(deciders(turn.program()), 0, turn, Mode.REMEMBERED);
+        case RECORDED -> reserveAt(rememberers(turn.program()), 0, turn, Mode.REMEMBERED);
         case REMEMBERED -> reserveAt(deciders(turn.program()), 0, turn, Mode.BLIND);
         default -> Future.succeededFuture(reservation(Verdict.UNABLE, turn, self, 0));
       };
@@ -242,9 +244,13 @@
     }
   }
 
-  private void tellUsed(String program) {
+  // What was decided from memory is lost with the memory, so all neighbours keep it too.
+  private void tellUsed(String program, Mode mode) {
     long used = usedHere(program);
-    for (VmEntry each : firstOfEachDataCentre(partition(program))) {
+    int partition = partition(program);
+    Set<VmEntry> told = new LinkedHashSet<>(firstOfEachDataCentre(partition));
+    told.addAll(near(partition, mode == Mode.RECORDED ? NEAR_CANDIDATES : Integer.MAX_VALUE));
+    for (VmEntry each : told) {
       if (!each.vm().equals(self.vm())) {
         peers.tell(each.address(), new PeerMessage.AllowanceNote(program, used));
       }
@@ -253,25 +259,30 @@
 
   /** Returns the first VM of all, then the first ones of this data centre. */
   private List<VmEntry> candidates(String program) {
-    List<VmEntry> candidates = new ArrayList<>();
-    candidates.add(ranked(partition(program)).get(0));
-    for (VmEntry each : near(program)) {
-      if (!candidates.contains(each)) {
-        candidates.add(each);
-      }
-    }
-    return candidates;
+    int partition = partition(program);
+    Set<VmEntry> candidates = new LinkedHashSet<>();
+    candidates.add(ranked(partition).get(0));
+    candidates.addAll(near(partition, NEAR_CANDIDATES));
+    return List.copyOf(candidates);
   }
 
   /** Returns the VMs that may decide without the store: the first of each data centre. */
   private List<VmEntry> deciders(String program) {
-    return new ArrayList<>(firstOfEachDataCentre(partition(program)));
+    return List.copyOf(firstOfEachDataCentre(partition(program)));
   }
 
-  private List<VmEntry> near(String program) {
+  /** Returns the VMs that may decide without the store and those that stand in for them here. */
+  private List<VmEntry> rememberers(String program) {
+    int partition = partition(program);
+    Set<VmEntry> all = new LinkedHashSet<>(firstOfEachDataCentre(partition));
+    all.addAll(near(partition, Integer.MAX_VALUE));
+    return List.copyOf(all);
+  }
+
+  private List<VmEntry> near(int partition, int most) {
     List<VmEntry> near = new ArrayList<>();
-    for (VmEntry each : ranked(partition(program))) {
-      if (each.dataCentre().equals(self.dataCentre()) && near.size() < NEAR_CANDIDATES) {
+    for (VmEntry each : ranked(partition)) {
+      if (each.dataCentre().equals(self.dataCentre()) && near.size() < most) {
         near.add(each);
       }
     }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -11,6 +11,7 @@
 import io.magnoliaroute.standin.users.StandInEndpoint;
 import io.magnoliaroute.standin.users.StandInEndpoint.Behaviour;
 import io.magnoliaroute.standin.users.StandInStore;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -308,10 +309,7 @@
     @Test
     @DisplayName("does not give a program that sends many turns at once more than its budget")
     void manyTurnsAtOnce() {
-      world.startSecondVm();
-      Await.until("ready", () -> world.secondReady() == 200);
-      Await.until(
-          "both know both", () -> world.vm().knownVms() == 2 && world.secondVm().knownVms() == 2);
+      world.joinSecondVm("dc2");
       world.store().setFault(StandInStore.Fault.SILENT);
 
       int served = world.servedOf(20, "p1", 300, 100);
@@ -322,6 +320,40 @@
       assertTrue(100 * served <= 300 + 100, served + " turns of 100 for a budget of 300");
     }
 
+    @Test
+    @DisplayName("knows what a neighbour granted from memory before it died")
+    void neighbourDied() {
+      world.joinSecondVm("dc");
+      awaitAllRead();
+      world.store().setFault(StandInStore.Fault.SILENT);
+      assertEquals(Collections.nCopies(8, 200), world.turnsAtSecond(8, 100, 100));
+
+      world.killVm();
+
+      assertFalse(world.turnsAtSecond(8, 100, 100).contains(200), "a second turn was served");
+    }
+
+    @Test
+    @DisplayName("decides in place of a neighbour that stops")
+    void neighbourStops() {
+      world.joinSecondVm("dc");
+      awaitAllRead();
+      world.store().setFault(StandInStore.Fault.SILENT);
+      assertEquals(Collections.nCopies(8, 200), world.turnsAtSecond(8, 1_000, 100));
+
+      world.beginStop();
+
+      assertEquals(Collections.nCopies(8, 200), world.turnsAtSecond(8, 1_000, 100));
+    }
+
+    private void awaitAllRead() {
+      Await.until(
+          "records are read",
+          () ->
+              world.vm().allowances().loadedPartitions() == 2
+                  && world.secondVm().allowances().loadedPartitions() == 2);
+    }
+
     @Test
     @DisplayName("records a turn that a peer without the store asks for, if it reaches the store")
     void recordsForPeer() {
@@ -366,10 +398,7 @@
     @Test
     @DisplayName("refuses the request without an endpoint and serves others")
     void refuses() {
-      world.startSecondVm();
-      Await.until("ready", () -> world.secondReady() == 200);
-      Await.until(
-          "both know both", () -> world.vm().knownVms() == 2 && world.secondVm().knownVms() == 2);
+      world.joinSecondVm("dc2");
       world.startThirdAndCrashAll();
       world.call("GET", "/safe/poison", Map.of());
       assertEquals(3, world.allRan().size());
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -200,6 +200,31 @@
     secondVm = startVm(secondRuntime, storePort, "vm-2", "dc2", peers());
   }
 
+  /** Starts a VM that reaches the same store, and waits until both know each other. */
+  void joinSecondVm(String dataCentre) {
+    secondVm = startVm(secondRuntime, storePort, "vm-2", dataCentre, peers());
+    Await.until("ready", () -> secondReady() == 200);
+    Await.until("both know both", () -> vm.knownVms() == 2 && secondVm.knownVms() == 2);
+  }
+
+  /** Ends the first VM at once, with all that it remembers. */
+  void killVm() {
+    Await.result(vmRuntime.close());
+  }
+
+  /** Sends one turn of each program to the second VM and returns what was answered. */
+  List<Integer> turnsAtSecond(int programs, long budget, long most) {
+    List<Integer> statuses = new ArrayList<>();
+    for (int i = 0; i < programs; i++) {
+      Map<String, String> headers = turnHeaders("p" + i, budget, most);
+      headers.put("X-Request-Id", String.valueOf(++requests));
+      statuses.add(
+          Await.result(send(secondVm.clientPort(), HttpMethod.POST, "/stream/x", headers))
+              .status());
+    }
+    return statuses;
+  }
+
   /** Starts a VM in another data centre whose store refuses every call. */
   void startSecondVmWithoutStore() {
     refusingStore.setFault(StandInStore.Fault.DOWN);
