List the models, and give refusals the error object that clients show

Cause: an unmodified chat-completions client got 404 for GET /v1/models and showed nothing of a refusal. Three tests in ProgramPathTest.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/ProgramRoutes.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/ProgramRoutes.java
@@ -7,16 +7,19 @@
 import io.magnoliaroute.daemon.request.CallerRequest;
 import io.magnoliaroute.daemon.request.Problem;
 import io.magnoliaroute.daemon.request.ProblemCode;
+import io.magnoliaroute.daemon.request.Replies;
 import io.magnoliaroute.daemon.request.RequestHandler;
 import io.magnoliaroute.daemon.request.RequestKind;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
@@ -26,6 +29,7 @@
   private static final String PROGRAM_HEADER = "Magnoliaroute-Program";
   private static final TeamId OPERATORS = new TeamId("operators");
   private static final long RETRY_AFTER_MS = 1_000;
+  private static final int OK = 200;
 
   private final RouteContext shared;
   private final RequestHandler handler;
@@ -43,6 +47,7 @@
     router.post("/v1/programs").handler(this::start);
     router.get("/v1/programs").handler(context -> dispatch(context, RequestKind.LIST, ids.none()));
     router.post("/v1/chat/completions").handler(this::turn);
+    router.get("/v1/models").handler(this::models);
     router.get("/v1/programs/:id").handler(context -> named(context, RequestKind.SHOW));
     router.get("/v1/programs/:id/history").handler(context -> named(context, RequestKind.HISTORY));
     router.post("/v1/programs/:id/actions").handler(context -> named(context, RequestKind.ACTION));
@@ -82,6 +87,24 @@
     }
   }
 
+  // Teams share the pools, so each team may use every model.
+  private void models(RoutingContext context) {
+    if (shared.requireTeam(context).isEmpty()) {
+      return;
+    }
+    JsonArray models = new JsonArray();
+    new TreeMap<>(shared.settings().current().poolOfModel())
+        .forEach(
+            (model, pool) ->
+                models.add(
+                    new JsonObject()
+                        .put("id", model)
+                        .put("object", "model")
+                        .put("owned_by", pool.id().value())));
+    Replies.done(
+        shared.sink(context), OK, new JsonObject().put("object", "list").put("data", models));
+  }
+
   private void turn(RoutingContext context) {
     String program = context.request().getHeader(PROGRAM_HEADER);
     if (program == null) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/request/Replies.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/request/Replies.java
@@ -60,13 +60,23 @@
             .put("status", problem.code().status())
             .put("code", problem.code().code())
             .put("detail", problem.detail())
-            .put("outcome", problem.code().outcome().wireName());
+            .put("outcome", problem.code().outcome().wireName())
+            .put("error", clientError(problem));
     if (problem.retryAfterMs() > 0) {
       body.put("retry_after_ms", problem.retryAfterMs());
     }
     return body;
   }
 
+  // Chat-completions clients show this object and nothing else of the body.
+  private static JsonObject clientError(Problem problem) {
+    return new JsonObject()
+        .put("message", problem.detail())
+        .put("type", problem.code().outcome().wireName())
+        .put("param", null)
+        .put("code", problem.code().code());
+  }
+
   private static long retryAfterSeconds(long retryAfterMs) {
     return (retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND;
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/ProgramPathTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/ProgramPathTest.java
@@ -156,6 +156,39 @@
     }
   }
 
+  @Nested
+  final class WhenAChatCompletionsClientCalls {
+
+    /** Guards against clients that list the models before they offer one. */
+    @Test
+    void theModelsAreListed() {
+      JsonObject listed = caller.get("/v1/models").json();
+      assertEquals("list", listed.getString("object"));
+      JsonObject model = listed.getJsonArray("data").getJsonObject(0);
+      assertEquals("model", model.getString("object"));
+      assertEquals(TestWorld.MODEL, model.getString("id"));
+    }
+
+    /** Guards against lists for callers that belong to no team. */
+    @Test
+    void theModelsAreNotListedWithoutAToken() {
+      assertEquals(401, new Caller(daemon.httpPort(), "wrong").get("/v1/models").status());
+    }
+
+    /** Guards against refusals of which such clients show nothing. */
+    @Test
+    void aRefusalHasTheErrorThatClientsShow() {
+      JsonObject error =
+          caller
+              .action(caller.startProgram(), "refund", "r-1", 1_000)
+              .json()
+              .getJsonObject("error");
+      assertEquals("operation_not_allowed", error.getString("code"));
+      assertEquals("not_run", error.getString("type"));
+      assertFalse(error.getString("message").isBlank());
+    }
+  }
+
   @Nested
   final class WhenCallersMayNot {
 
