Read the tool's answers on the event loop

The tool asked for an answer's body on the calling thread; an answer that had arrived by then had passed by, and the step was reported as unknown though it had run. Trace: with a pause of 50 ms between sending and asking, four tests of RunCommandTest fail each time with "no complete answer". Change: sending, head and body are one chain on the event loop. Excluded: the stub, which answers on its own event loop. After: RunCommandTest and CommandLineToolTest pass; the pause can no longer come between.

--- a/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/ApiClient.java
+++ b/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/ApiClient.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.cli;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
@@ -22,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Sends requests to one server and waits for the answers. */
 final class ApiClient implements AutoCloseable {
@@ -54,8 +56,11 @@
     HttpClientRequest request = connect(method, path);
     return await(
         method,
-        send(request, body, Map.of())
-            .compose(response -> bounded(response).map(buffer -> reply(response, buffer))));
+        onEventLoop(
+            () ->
+                send(request, body, Map.of())
+                    .compose(
+                        response -> bounded(response).map(buffer -> reply(response, buffer)))));
   }
 
   /**
@@ -70,12 +75,21 @@
     HttpClientRequest request = connect(HttpMethod.POST, path);
     return await(
         HttpMethod.POST,
-        send(request, Optional.of(body), headers)
-            .compose(
-                response ->
-                    isEventStream(response)
-                        ? new EventReader(response, onEvent).result()
-                        : bounded(response).map(buffer -> reply(response, buffer))));
+        onEventLoop(
+            () ->
+                send(request, Optional.of(body), headers)
+                    .compose(
+                        response ->
+                            isEventStream(response)
+                                ? new EventReader(response, onEvent).result()
+                                : bounded(response).map(buffer -> reply(response, buffer)))));
+  }
+
+  // An answer that is asked for on another thread may have passed by.
+  private Future<ApiReply> onEventLoop(Supplier<Future<ApiReply>> exchange) {
+    Promise<ApiReply> reply = Promise.promise();
+    vertx.runOnContext(run -> exchange.get().onComplete(reply));
+    return reply.future();
   }
 
   private static boolean isEventStream(HttpClientResponse response) {
