--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/Rehearsal.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/Rehearsal.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
@@ -37,7 +39,7 @@
   private static final long POLL_MS = 50;
   private static final int READY = 200;
 
-  private final Vertx vertx = Vertx.vertx();
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final HttpClient client = vertx.createHttpClient();
   private int requests;
 
@@ -157,15 +159,23 @@
   private Future<Integer> send(
       int port, HttpMethod method, String path, Map<String, String> headers) {
     String id = String.valueOf(++requests);
-    return client
-        .request(
-            new RequestOptions().setHost("127.0.0.1").setPort(port).setMethod(method).setURI(path))
-        .compose(
-            request -> {
-              headers.forEach(request::putHeader);
-              request.putHeader("Host", StandInConfiguration.HOST).putHeader("X-Request-Id", id);
-              return answer(request);
-            });
+    RequestOptions options =
+        new RequestOptions().setHost("127.0.0.1").setPort(port).setMethod(method).setURI(path);
+    Promise<Integer> status = Promise.promise();
+    // An answer that is asked for on another thread may have passed by.
+    vertx.runOnContext(
+        run ->
+            client
+                .request(options)
+                .compose(
+                    request -> {
+                      headers.forEach(request::putHeader);
+                      request.putHeader("Host", StandInConfiguration.HOST);
+                      request.putHeader("X-Request-Id", id);
+                      return answer(request);
+                    })
+                .onComplete(status));
+    return status.future();
   }
 
   private static Future<Integer> answer(HttpClientRequest request) {
