Use the slices of budgets where they are

A slice counts as spent for all but its holder, and the holder changed: each VM that starts or stops in a roll, or is cut off, moves its partitions to another one. The new holder did not read on before it refused, did not ask the VM that has the slice, and a stopping VM gave its slices back first, while the store was silent. After an outage each VM that had run one turn from memory recorded a slice of three turns. Change: a reply names the holder of the newest slice, which still grants turns inside it (Mode.OWN_SLICE); an unreachable one gives 503 for 10 s, not 402; a holder reads on before it calls a budget spent by another's slice; a stopping VM gives its slices back last; a record after an outage covers what ran.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
@@ -60,6 +60,8 @@
     private long spent;
     private long told;
     private boolean wanted;
+    private String granter = "";
+    private final Map<String, Long> unrecorded = new HashMap<>();
     private long usedAtMs;
   }
 
@@ -105,9 +107,22 @@
     return account != null && (account.granted > 0 || account.spent > 0);
   }
 
+  /** Returns the other holder that has the newest slice of the program, if there is one. */
+  public Optional<String> granter(String program) {
+    Account account = accounts.get(program);
+    return account == null || account.granter.isEmpty() || account.granter.equals(holder)
+        ? Optional.empty()
+        : Optional.of(account.granter);
+  }
+
+  /** Returns the name of this view's holder. */
+  public String holder() {
+    return holder;
+  }
+
   /** Returns whether turns have run, or will run, that no record covers yet. */
   public boolean wantsRecord() {
-    return accounts.values().stream().anyMatch(account -> account.wanted);
+    return accounts.values().stream().anyMatch(account -> account.wanted || uncovered(account) > 0);
   }
 
   /** Takes a listing of the newest records. */
@@ -146,11 +161,28 @@
     return Decision.WAIT;
   }
 
-  /** Takes what another VM knows to be used of a program's budget. */
-  public void told(String program, long usedTokens, long nowMs) {
+  /**
+   * Takes what another holder knows to be used of a program's budget.
+   *
+   * @param usedTokens what all holders have used as far as that one knows
+   * @param unrecordedTokens what that holder has used beyond its slices; it counts until a record
+   *     of that holder covers it, also if the holder is gone by then
+   */
+  public void told(String program, String by, long usedTokens, long unrecordedTokens, long nowMs) {
     Account account = accounts.computeIfAbsent(program, name -> new Account());
     account.told = Math.max(account.told, usedTokens);
     account.usedAtMs = nowMs;
+    if (unrecordedTokens > 0 && !by.equals(holder)) {
+      account.unrecorded.put(by, unrecordedTokens);
+    } else {
+      account.unrecorded.remove(by);
+    }
+  }
+
+  /** Returns what this holder has used of a program's budget beyond its slices. */
+  public long unrecorded(String program) {
+    Account account = accounts.get(program);
+    return account == null ? 0 : uncovered(account);
   }
 
   /** Returns what is known to be used of a program's budget, running turns at their most. */
@@ -159,14 +191,28 @@
     return account == null ? 0 : used(account);
   }
 
+  /**
+   * Sets the most that a turn may generate aside in the slices that this holder has, for a VM that
+   * knows them as spent. They stay with this holder whoever decides now, and whether or not the
+   * store can be reached.
+   */
+  public Decision reserveOwn(String program, long turnTokens, long nowMs) {
+    Account account = accounts.get(program);
+    if (account == null || account.spent + turnTokens > account.mine) {
+      return Decision.EXHAUSTED;
+    }
+    account.usedAtMs = nowMs;
+    account.spent += turnTokens;
+    return Decision.GRANTED;
+  }
+
   /** Sets the most that a turn may generate aside while the store is away. */
   public Decision reserveOffline(String program, long budgetTokens, long turnTokens, long nowMs) {
     Account account = account(program, budgetTokens, turnTokens, nowMs);
     if (used(account) + turnTokens > account.budget) {
       return Decision.EXHAUSTED;
     }
-    long uncovered = account.spent + turnTokens - account.mine;
-    account.wanted = true;
+    long uncovered = account.spent + turnTokens - account.mine + unrecordedElsewhere(account);
     if (uncovered > offlineTokens(account, turnTokens)) {
       return Decision.WAIT;
     }
@@ -198,7 +244,9 @@
         drops.add(each.getKey());
         continue;
       }
-      long amount = account.wanted ? slice(account) : 0;
+      // What ran from memory is recorded as it is: a slice would be lost to the one who decides.
+      long amount =
+          account.wanted ? slice(account) : Math.min(ungranted(account), uncovered(account));
       if (amount > 0 && grants.size() < MAX_RECORDS) {
         grants.add(new Grant(each.getKey(), account.granted + amount, holder));
       }
@@ -213,13 +261,17 @@
 
   /** Notes that the append under way has been done. */
   public void appended(Append append, long newEnd, long nowMs) {
+    appending = false;
+    if (newEnd <= end) {
+      // A read has taken these records already, and perhaps later ones.
+      return;
+    }
     for (Grant grant : append.grants()) {
       apply(grant, nowMs);
     }
     append.drops().forEach(accounts::remove);
     end = newEnd;
     confirmedAtMs = nowMs;
-    appending = false;
   }
 
   /** Notes that the append under way has certainly not been done and never will be. */
@@ -253,6 +305,8 @@
       account.wanted = false;
     }
     account.granted = grant.grantedTokens();
+    account.granter = grant.holder();
+    account.unrecorded.remove(grant.holder());
     account.usedAtMs = Math.max(account.usedAtMs, nowMs);
   }
 
@@ -271,17 +325,33 @@
   }
 
   private static long slice(Account account) {
-    long uncovered = Math.max(0, account.spent - account.mine);
     long usual = Math.max(SLICE_TURNS * account.turn, account.budget / SLICES);
-    return Math.min(room(account), Math.max(uncovered, usual));
+    long own = Math.min(ungranted(account), uncovered(account));
+    return Math.max(own, Math.min(room(account), usual));
+  }
+
+  private static long uncovered(Account account) {
+    return Math.max(0, account.spent - account.mine);
   }
 
   private static long used(Account account) {
-    long recorded = account.granted - account.mine + account.spent;
-    return Math.max(recorded, account.told);
+    long known = account.granted - account.mine + account.spent + unrecordedElsewhere(account);
+    return Math.max(known, account.told);
   }
 
-  private static long room(Account account) {
+  private static long ungranted(Account account) {
     return account.budget - account.granted;
   }
+
+  private static long unrecordedElsewhere(Account account) {
+    long sum = 0;
+    for (long each : account.unrecorded.values()) {
+      sum += each;
+    }
+    return sum;
+  }
+
+  private static long room(Account account) {
+    return ungranted(account) - unrecordedElsewhere(account);
+  }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -8,6 +8,7 @@
 import io.magnoliaroute.platform.StoreClient;
 import io.magnoliaroute.platform.StoreException;
 import io.magnoliaroute.platform.StoreRecord;
+import io.magnoliaroute.wire.PeerMessage;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -67,6 +68,10 @@
    */
   Future<TurnBudgets.Verdict> reserve(
       String program, long budgetTokens, long turnTokens, TurnBudgets.Mode mode) {
+    if (mode == TurnBudgets.Mode.OWN_SLICE) {
+      return Future.succeededFuture(
+          verdict(partition.reserveOwn(program, turnTokens, clock.millis())));
+    }
     if (leaving) {
       return Future.succeededFuture(TurnBudgets.Verdict.UNABLE);
     }
@@ -82,7 +87,7 @@
     Promise<TurnBudgets.Verdict> promise = Promise.promise();
     long timer = vertx.setTimer(WAIT_MS, fired -> waitedInVain(promise));
     current(program)
-        .onSuccess(ready -> decide(program, budgetTokens, turnTokens, promise))
+        .onSuccess(ready -> decideFresh(program, budgetTokens, turnTokens, promise))
         .onFailure(e -> promise.tryComplete(TurnBudgets.Verdict.UNABLE));
     return promise.future().onComplete(done -> vertx.cancelTimer(timer));
   }
@@ -100,9 +105,21 @@
     return partition.used(program);
   }
 
-  /** Takes what another VM knows to be used. */
-  void told(String program, long usedTokens) {
-    partition.told(program, usedTokens, clock.millis());
+  /** Returns the name of another holder that has the newest slice of the program. */
+  Optional<String> granter(String program) {
+    return partition.granter(program);
+  }
+
+  /** Takes what another holder knows to be used. */
+  void told(PeerMessage.AllowanceNote note) {
+    partition.told(
+        note.program(), note.holder(), note.usedTokens(), note.unrecordedTokens(), clock.millis());
+  }
+
+  /** Returns what other VMs should know of a program's budget. */
+  PeerMessage.AllowanceNote describe(String program) {
+    return new PeerMessage.AllowanceNote(
+        program, partition.holder(), partition.used(program), partition.unrecorded(program));
   }
 
   /** Records what ran without a record once the store can be reached. */
@@ -135,7 +152,26 @@
     List<Grant> grants = partition.release();
     return grants.isEmpty()
         ? Future.succeededFuture()
-        : store.append(TOPIC, number, Optional.of(end), records(grants, List.of())).mapEmpty();
+        : store
+            .append(TOPIC, number, Optional.of(end), records(grants, List.of()))
+            .<Void>mapEmpty()
+            .onFailure(
+                e ->
+                    log.line("slices_not_released")
+                        .put("partition", number)
+                        .put("programs", grants.size())
+                        .put("cause", String.valueOf(e.getMessage()))
+                        .write());
+  }
+
+  // The other holder may have given its slice back since this VM has read its record.
+  private void decideFresh(
+      String program, long budgetTokens, long turnTokens, Promise<TurnBudgets.Verdict> promise) {
+    if (partition.granter(program).isEmpty()) {
+      decide(program, budgetTokens, turnTokens, promise);
+      return;
+    }
+    loadingOnce(this::read).onComplete(read -> decide(program, budgetTokens, turnTokens, promise));
   }
 
   private void decide(
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Allowances.java
@@ -36,6 +36,12 @@
   /** A holder answers at once, unless it waits for the store; a busy VM takes up to this long. */
   private static final long BUSY_MS = 150;
 
+  /** A VM that is lost for longer than a cut usually lasts does not come back with its slices. */
+  private static final long GONE_MS = 10_000;
+
+  /** Ends the VM's name in the name of a holder; what follows is another one after each start. */
+  static final String HOLDER_SEPARATOR = "/";
+
   private static final long ASK_MS = AllowanceHolder.WAIT_MS + BUSY_MS;
 
   private static final Verdict[] VERDICTS = Verdict.values();
@@ -49,6 +55,7 @@
   private final int partitions;
   private final DecisionLog log;
   private final GatewayMetrics metrics;
+  private boolean leaving;
   private final Set<String> exhausted =
       Collections.newSetFromMap(
           new LinkedHashMap<>() {
@@ -107,8 +114,13 @@
   }
 
   /** Takes what another VM knows to be used of a program's budget. */
-  void told(String program, long usedTokens) {
-    holder(program).told(program, usedTokens);
+  void told(PeerMessage.AllowanceNote note) {
+    holder(note.program()).told(note);
+  }
+
+  /** Returns the name of another holder that has the newest slice of the program. */
+  Optional<String> granterHere(String program) {
+    return holder(program).granter(program);
   }
 
   /** Returns what is known to be used of a program's budget. */
@@ -138,6 +150,9 @@
     if (exhausted.contains(program)) {
       return Future.succeededFuture(Verdict.EXHAUSTED);
     }
+    if (leaving && mode != Mode.OWN_SLICE) {
+      return Future.succeededFuture(Verdict.UNABLE);
+    }
     return holder(program)
         .reserve(program, budgetTokens, turnTokens, mode)
         .onSuccess(
@@ -152,9 +167,17 @@
     holder(program).settle(program, reservedTokens, handedTokens);
   }
 
-  /** Gives back what was not spent. */
-  void release() {
-    holders.values().forEach(AllowanceHolder::release);
+  /** From now on, turns are granted only inside the slices that this VM has. */
+  void leave() {
+    leaving = true;
+  }
+
+  /** Gives back what was not spent; completes when the store has answered, whatever it said. */
+  Future<Void> release() {
+    leaving = true;
+    List<Future<Void>> released = new ArrayList<>();
+    holders.values().forEach(each -> released.add(each.release()));
+    return Future.join(released).<Void>mapEmpty().otherwiseEmpty();
   }
 
   private Future<Reservation> reserveAt(List<VmEntry> candidates, int next, Turn turn, Mode mode) {
@@ -171,18 +194,52 @@
     }
     VmEntry candidate = candidates.get(next);
     return askCandidate(candidate, turn, mode)
-        .recover(e -> Future.succeededFuture(reservation(Verdict.UNABLE, turn, candidate, 0)))
+        .otherwise(e -> new Answer(reservation(Verdict.UNABLE, turn, candidate, 0), ""))
         .compose(
-            reservation ->
-                reservation.verdict() == Verdict.UNABLE
-                    ? reserveAt(candidates, next + 1, turn, mode)
-                    : Future.succeededFuture(reservation));
+            answer ->
+                switch (answer.reservation().verdict()) {
+                  case UNABLE -> reserveAt(candidates, next + 1, turn, mode);
+                  case EXHAUSTED -> reserveInSlice(answer, turn);
+                  default -> Future.succeededFuture(answer.reservation());
+                });
+  }
+
+  /** What a VM answers, and the holder of the newest slice if that is another one. */
+  private record Answer(Reservation reservation, String granter) {}
+
+  /** Asks the VM whose slice counts as spent for all others; it may hold tokens for the turn. */
+  private Future<Reservation> reserveInSlice(Answer spent, Turn turn) {
+    Optional<VmEntry> granter = vmOf(spent.granter());
+    if (granter.isEmpty() || peers.lostForMs(granter.get().address()) > GONE_MS) {
+      return Future.succeededFuture(spent.reservation());
+    }
+    Reservation notNow = reservation(Verdict.WITHHELD, turn, granter.get(), 0);
+    if (peers.isSuspect(granter.get().address())) {
+      boolean present = roster.isPresent(granter.get().vm());
+      return Future.succeededFuture(present ? notNow : spent.reservation());
+    }
+    return askCandidate(granter.get(), turn, Mode.OWN_SLICE)
+        .map(
+            answer ->
+                answer.reservation().verdict() == Verdict.GRANTED
+                    ? answer.reservation()
+                    : spent.reservation())
+        .otherwise(e -> roster.isPresent(granter.get().vm()) ? notNow : spent.reservation());
+  }
+
+  private Optional<VmEntry> vmOf(String holder) {
+    int end = holder.indexOf(HOLDER_SEPARATOR);
+    return end < 0 ? Optional.empty() : roster.presentOrLeft(new VmId(holder.substring(0, end)));
   }
 
-  private Future<Reservation> askCandidate(VmEntry candidate, Turn turn, Mode mode) {
+  private Future<Answer> askCandidate(VmEntry candidate, Turn turn, Mode mode) {
     if (candidate.vm().equals(self.vm())) {
       return reserveHere(turn.program(), turn.budgetTokens(), turn.turnTokens(), mode)
-          .map(verdict -> reservation(verdict, turn, self, usedHere(turn.program())));
+          .map(
+              verdict ->
+                  new Answer(
+                      reservation(verdict, turn, self, usedHere(turn.program())),
+                      granterHere(turn.program()).orElse("")));
     }
     long request = peers.nextRequest();
     return peers
@@ -195,7 +252,9 @@
         .map(
             answer -> {
               PeerMessage.AllowanceReply reply = (PeerMessage.AllowanceReply) answer;
-              return reservation(verdict(reply.verdict()), turn, candidate, reply.usedTokens());
+              return new Answer(
+                  reservation(verdict(reply.verdict()), turn, candidate, reply.usedTokens()),
+                  reply.granter());
             });
   }
 
@@ -239,6 +298,7 @@
           .put("verdict", reservation.verdict().name())
           .put("budget", budgetTokens)
           .put("turn", reservation.reservedTokens())
+          .put("used", reservation.usedTokens())
           .put("holder", reservation.holder().map(HostPort::toString).orElse("self"))
           .write();
     }
@@ -246,13 +306,13 @@
 
   // What was decided from memory is lost with the memory, so all neighbours keep it too.
   private void tellUsed(String program, Mode mode) {
-    long used = usedHere(program);
+    PeerMessage.AllowanceNote note = holder(program).describe(program);
     int partition = partition(program);
     Set<VmEntry> told = new LinkedHashSet<>(firstOfEachDataCentre(partition));
     told.addAll(near(partition, mode == Mode.RECORDED ? NEAR_CANDIDATES : Integer.MAX_VALUE));
     for (VmEntry each : told) {
       if (!each.vm().equals(self.vm())) {
-        peers.tell(each.address(), new PeerMessage.AllowanceNote(program, used));
+        peers.tell(each.address(), note);
       }
     }
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -44,6 +44,9 @@
   private static final long STOP_CHECK_MS = 50;
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Many times the store's usual answer, and less than what the limit of a stop leaves. */
+  private static final long RELEASE_MS = 300;
+
   private final BootSettings settings;
   private final SettingsSource source;
   private final InstantSource clock;
@@ -103,7 +106,8 @@
             settings.dataCentre());
     this.roster = new VmRoster(self, store, clock, log);
     this.peers = new Peers(vertx, clock, log, metrics);
-    String holder = settings.vm().value() + "/" + random.nextLong(Long.MAX_VALUE);
+    String holder =
+        settings.vm().value() + Allowances.HOLDER_SEPARATOR + random.nextLong(Long.MAX_VALUE);
     this.allowances =
         new Allowances(
             self,
@@ -245,7 +249,7 @@
     log.line("stopping").put("requests", front.active()).write();
     front.beginStop();
     roster.leave();
-    allowances.release();
+    allowances.leave();
     vertx.setPeriodic(
         STOP_CHECK_MS,
         timer -> {
@@ -257,12 +261,23 @@
           boolean idle = front.active() == 0 && front.openConnections() == 0;
           if (idle || elapsedMs >= settings.stopLimitMs() - STOP_MARGIN_MS) {
             vertx.cancelTimer(timer);
-            log.line("stopped").put("requests_cut", front.active()).write();
-            done.tryComplete();
+            releaseBudgets(done);
           }
         });
   }
 
+  /** Other VMs use the slices of this one until it ends, so they are given back last. */
+  private void releaseBudgets(Promise<Void> done) {
+    vertx.setTimer(RELEASE_MS, late -> stopped(done));
+    allowances.release().onComplete(released -> stopped(done));
+  }
+
+  private void stopped(Promise<Void> done) {
+    if (done.tryComplete()) {
+      log.line("stopped").put("requests_cut", front.active()).write();
+    }
+  }
+
   boolean isReady() {
     boolean ready = !stopping && beliefs.isComplete();
     if (ready && !announcedReady) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerDesk.java
@@ -112,7 +112,8 @@
                       ask.program(),
                       ask.turnTokens(),
                       verdict.name(),
-                      allowances.usedHere(ask.program())));
+                      allowances.usedHere(ask.program()),
+                      allowances.granterHere(ask.program()).orElse("")));
     }
     PeerMessage.BeliefsAsk ask = (PeerMessage.BeliefsAsk) request;
     return Future.succeededFuture(describe(ask));
@@ -123,7 +124,7 @@
     if (news instanceof PeerMessage.AllowanceSettle settle) {
       allowances.settleHere(settle.program(), settle.reservedTokens(), settle.handedTokens());
     } else if (news instanceof PeerMessage.AllowanceNote note) {
-      allowances.told(note.program(), note.usedTokens());
+      allowances.told(note);
     } else if (news instanceof PeerMessage.ProgramExhausted spent) {
       allowances.exhausted(spent.program());
     } else if (news instanceof PeerMessage.EndpointLost lost) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Peers.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Peers.java
@@ -66,6 +66,7 @@
     private final Map<Long, Promise<PeerMessage>> asked = new HashMap<>();
     private int failures;
     private boolean lost;
+    private long lostAtMs;
     private long retryAtMs;
   }
 
@@ -98,6 +99,11 @@
     return peer != null && peer.lost;
   }
 
+  /** Returns for how long the peer has not been reached; 0 if it is not suspect. */
+  long lostForMs(HostPort address) {
+    return isSuspect(address) ? clock.millis() - peers.get(address).lostAtMs : 0;
+  }
+
   /** Connects to lost peers whose time has come; they get no messages before. */
   void reconnectLost() {
     peers.forEach(
@@ -190,6 +196,7 @@
     peer.retryAtMs = clock.millis() + retryMs;
     if (!peer.lost) {
       peer.lost = true;
+      peer.lostAtMs = clock.millis();
       metrics.count("peers_lost");
       log.line("peer_lost").put("peer", address.toString()).put("cause", cause).write();
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnBudgets.java
@@ -14,7 +14,9 @@
     /** From memory, as a holder that has read the records since it started. */
     REMEMBERED,
     /** From memory, whatever it knows. */
-    BLIND
+    BLIND,
+    /** Only from slices that the holder has; another VM found them spent. */
+    OWN_SLICE
   }
 
   /** What became of a reservation. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmRoster.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmRoster.java
@@ -28,6 +28,7 @@
   private final InstantSource clock;
   private final DecisionLog log;
   private final Map<VmId, VmEntry> vms = new HashMap<>();
+  private final Map<VmId, VmEntry> left = new HashMap<>();
   private boolean registered;
   private long writtenAtMs = Long.MIN_VALUE / 2;
   private boolean leaving;
@@ -49,6 +50,15 @@
     return vms.size();
   }
 
+  boolean isPresent(VmId vm) {
+    return vms.containsKey(vm);
+  }
+
+  /** Returns a VM of the list, or one that has left it and may still finish its work. */
+  Optional<VmEntry> presentOrLeft(VmId vm) {
+    return Optional.ofNullable(vms.get(vm)).or(() -> Optional.ofNullable(left.get(vm)));
+  }
+
   /** Takes what a peer knows; the store's records go before it. */
   void learn(VmEntry entry) {
     vms.putIfAbsent(entry.vm(), entry);
@@ -73,7 +83,12 @@
       entry.ifPresent(known -> listed.add(known.vm()));
       found |= entry.isPresent() && entry.get().equals(self);
     }
-    vms.keySet().removeIf(vm -> !listed.contains(vm) && !vm.equals(self.vm()));
+    for (VmEntry each : List.copyOf(vms.values())) {
+      if (!listed.contains(each.vm()) && !each.equals(self)) {
+        vms.remove(each.vm());
+        left.put(each.vm(), each);
+      }
+    }
     registered = found;
     register();
   }
@@ -93,7 +108,9 @@
     try {
       VmId vm = new VmId(record.key());
       if (record.value().isEmpty()) {
-        if (!vm.equals(self.vm()) && vms.remove(vm) != null) {
+        VmEntry gone = vm.equals(self.vm()) ? null : vms.remove(vm);
+        if (gone != null) {
+          left.put(vm, gone);
           log.line("vm_left").put("peer", vm.value()).write();
         }
         return Optional.empty();
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -265,6 +265,69 @@
     }
   }
 
+  @Nested
+  @DisplayName("whose slices of budgets are spent for all others")
+  class SliceHolder {
+
+    private static final int PROGRAMS = 8;
+
+    @BeforeEach
+    void takeSlices() {
+      // A slice of three turns is the whole budget; each turn hands out a few tokens of it.
+      for (int i = 0; i < PROGRAMS; i++) {
+        assertEquals(200, world.turn("p" + i, 300, 100).status());
+      }
+    }
+
+    @Test
+    @DisplayName("still grants turns inside them after another VM has taken over")
+    void replaced() {
+      world.joinSecondVm("dc");
+
+      assertEquals(Collections.nCopies(PROGRAMS, 200), world.turnsAtSecond(PROGRAMS, 300, 100));
+    }
+
+    @Test
+    @DisplayName("has given them back once it has stopped, also to a VM that has read them")
+    void stopped() {
+      world.joinSecondVm("dc");
+      awaitAllRead();
+      Await.result(world.beginStop());
+
+      assertEquals(Collections.nCopies(PROGRAMS, 200), world.turnsAtSecond(PROGRAMS, 300, 100));
+    }
+
+    @Test
+    @DisplayName("still grants turns inside them while it stops")
+    void stops() {
+      world.joinSecondVm("dc");
+      awaitAllRead();
+      world.beginStop();
+      Await.until("the VM has left", () -> world.secondVm().knownVms() == 1);
+
+      assertEquals(Collections.nCopies(PROGRAMS, 200), world.turnsAtSecond(PROGRAMS, 300, 100));
+    }
+
+    @Test
+    @DisplayName("keeps them for turns though it stops while the store is away")
+    void stopsWithoutStore() {
+      world.joinSecondVm("dc");
+      awaitAllRead();
+      world.store().setFault(StandInStore.Fault.SILENT);
+      world.beginStop();
+
+      assertEquals(Collections.nCopies(PROGRAMS, 200), world.turnsAtSecond(PROGRAMS, 300, 100));
+    }
+  }
+
+  private void awaitAllRead() {
+    Await.until(
+        "records are read",
+        () ->
+            world.vm().allowances().loadedPartitions() == 2
+                && world.secondVm().allowances().loadedPartitions() == 2);
+  }
+
   @Nested
   @DisplayName("while the store is away")
   class StoreAway {
@@ -346,14 +409,6 @@
       assertEquals(Collections.nCopies(8, 200), world.turnsAtSecond(8, 1_000, 100));
     }
 
-    private void awaitAllRead() {
-      Await.until(
-          "records are read",
-          () ->
-              world.vm().allowances().loadedPartitions() == 2
-                  && world.secondVm().allowances().loadedPartitions() == 2);
-    }
-
     @Test
     @DisplayName("records a turn that a peer without the store asks for, if it reaches the store")
     void recordsForPeer() {
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -144,13 +144,27 @@
    * @param turnTokens the most that the turn generates
    * @param verdict the name of one of the holder's verdicts
    * @param usedTokens what the holder knows to be used, running turns at their most
+   * @param granter the name of another holder that has the newest slice; empty if there is none
    */
   record AllowanceReply(
-      long request, String program, long turnTokens, String verdict, long usedTokens)
+      long request,
+      String program,
+      long turnTokens,
+      String verdict,
+      long usedTokens,
+      String granter)
       implements PeerMessage {}
 
-  /** Tells a VM that may become the holder what is used of a program's budget. */
-  record AllowanceNote(String program, long usedTokens) implements PeerMessage {}
+  /**
+   * Tells a VM that may become the holder what is used of a program's budget.
+   *
+   * @param program the program
+   * @param holder the name of the holder that tells
+   * @param usedTokens what it knows to be used, running turns at their most
+   * @param unrecordedTokens what it has used itself and no record covers yet
+   */
+  record AllowanceNote(String program, String holder, long usedTokens, long unrecordedTokens)
+      implements PeerMessage {}
 
   /** Tells that the budget of a program does not hold another turn. */
   record ProgramExhausted(String program) implements PeerMessage {}
