Refuse a request at once when no endpoint accepts connections

Cause: a VM whose service has only lost endpoints offered each request to them one after the other, 250 ms each. Change: a request that finds all endpoints lost has them probed all at once, except those that failed within the time of one connection, and goes to the first that accepts; if none does it gets 503 with 0.5 s, about the time to the next probe, so callers come back as often as before. Requests that meet a probe under way wait for its end; before, they took it for failed. Excluded: refusing without a probe; a VM that was frozen for a moment believes all endpoints lost.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -35,6 +35,9 @@
   /** When a refused client should come back: about one short request of a plain service. */
   private static final long RETRY_AFTER_MS = 100;
 
+  /** The same while no endpoint accepts connections: about the time to the next probe. */
+  private static final long UNREACHABLE_RETRY_AFTER_MS = 500;
+
   private final Gateway gateway;
   private final Request request;
   private final ClientAnswer answer;
@@ -258,6 +261,10 @@
     }
     Optional<EndpointEntry> picked =
         gateway.picker().pick(service, request.call(), history.avoided(), now());
+    if (picked.isPresent() && gateway.loads().isLost(picked.get().id())) {
+      dispatchIfReachable();
+      return;
+    }
     if (picked.isPresent()) {
       connect(picked.get(), false);
       return;
@@ -265,16 +272,36 @@
     history.avoided().clear();
     long waitedMs = now() - request.arrivedMs();
     if (waitedMs >= (untilMs - request.arrivedMs()) / WAIT_DIVISOR) {
-      if (history.mayHaveRun()) {
-        refuse(BAD_GATEWAY, "no endpoint left", 0);
-      } else {
-        refuse(UNAVAILABLE, "no endpoint", RETRY_AFTER_MS);
-      }
+      refuseWithoutEndpoint(RETRY_AFTER_MS);
       return;
     }
     gateway.vertx().setTimer(OFFER_AGAIN_MS, fired -> dispatch());
   }
 
+  // To try lost endpoints one after the other would hold the client for nothing.
+  private void dispatchIfReachable() {
+    gateway
+        .reachability()
+        .anyReachable(service)
+        .onSuccess(
+            reachable -> {
+              if (reachable) {
+                history.avoided().clear();
+                dispatch();
+              } else {
+                refuseWithoutEndpoint(UNREACHABLE_RETRY_AFTER_MS);
+              }
+            });
+  }
+
+  private void refuseWithoutEndpoint(long retryAfterMs) {
+    if (history.mayHaveRun()) {
+      refuse(BAD_GATEWAY, "no endpoint left", 0);
+    } else {
+      refuse(UNAVAILABLE, "no endpoint", retryAfterMs);
+    }
+  }
+
   private void connect(EndpointEntry endpoint, boolean fresh) {
     history.sending(endpoint.id());
     Optional<EndpointConnection> idle =
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Reachability.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Reachability.java
@@ -5,11 +5,13 @@
 import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.model.EndpointId;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.NoSuchElementException;
 import java.util.function.Consumer;
 
 /**
@@ -22,13 +24,17 @@
   /** An endpoint that accepted a connection so lately is not probed for others' sake. */
   private static final long FRESH_MS = 500;
 
+  /** An endpoint that failed so lately is not asked again at once: the time of one connection. */
+  private static final long JUST_LOST_MS = EndpointConnections.CONNECT_TIMEOUT_MS;
+
   private final Beliefs beliefs;
   private final EndpointLoads loads;
   private final EndpointConnections connections;
   private final InstantSource clock;
   private final DecisionLog log;
-  private final Set<EndpointId> probing = new HashSet<>();
+  private final Map<EndpointId, Future<Boolean>> probing = new HashMap<>();
   private final Map<EndpointId, Long> probedAtMs = new HashMap<>();
+  private final Map<EndpointId, Long> lostAtMs = new HashMap<>();
   private Consumer<EndpointId> announce = endpoint -> {};
 
   Reachability(
@@ -51,6 +57,7 @@
 
   /** Notes that the endpoint accepts no connection. */
   void lost(EndpointEntry endpoint, String cause) {
+    lostAtMs.put(endpoint.id(), clock.millis());
     if (!loads.lost(endpoint.id(), clock.millis())) {
       return;
     }
@@ -81,23 +88,55 @@
     }
   }
 
+  /**
+   * Tells whether any endpoint of the service accepts connections, for a request that finds all of
+   * them lost. Asks all at once those that have not just failed; the first that accepts decides.
+   */
+  Future<Boolean> anyReachable(String service) {
+    List<Future<Boolean>> probes = new ArrayList<>();
+    for (EndpointEntry each : beliefs.endpoints().usable(service, clock.millis())) {
+      if (!loads.isLost(each.id())) {
+        return Future.succeededFuture(true);
+      }
+      if (clock.millis() - lostAtMs.getOrDefault(each.id(), Long.MIN_VALUE / 2) >= JUST_LOST_MS) {
+        probes.add(probe(each).map(Reachability::orFail));
+      }
+    }
+    return probes.isEmpty()
+        ? Future.succeededFuture(false)
+        : Future.any(probes).map(true).otherwise(false);
+  }
+
+  private static boolean orFail(boolean reached) {
+    if (!reached) {
+      throw new NoSuchElementException("the endpoint accepts no connection");
+    }
+    return true;
+  }
+
   /** Opens a connection, which stays usable, and tells whether that worked. */
   Future<Boolean> probe(EndpointEntry endpoint) {
-    if (!probing.add(endpoint.id())) {
-      return Future.succeededFuture(!loads.isLost(endpoint.id()));
+    Future<Boolean> underWay = probing.get(endpoint.id());
+    if (underWay != null) {
+      return underWay;
     }
     probedAtMs.put(endpoint.id(), clock.millis());
-    return connections
+    Promise<Boolean> probe = Promise.promise();
+    probing.put(endpoint.id(), probe.future());
+    connections
         .probe(endpoint, acceptedConnections(endpoint))
-        .onComplete(
-            done -> {
+        .otherwise(false)
+        .onSuccess(
+            accepted -> {
               probing.remove(endpoint.id());
-              if (done.succeeded() && done.result()) {
+              if (accepted) {
                 reached(endpoint);
               } else {
                 lost(endpoint, "probe");
               }
+              probe.complete(accepted);
             });
+    return probe.future();
   }
 
   private void reached(EndpointEntry endpoint) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -197,6 +197,34 @@
       assertTrue(Double.parseDouble(answer.headers().get("Retry-After")) > 0, "Retry-After");
     }
 
+    @Test
+    @DisplayName("refuses a call at once when it knows that no endpoint accepts connections")
+    void allCutOff() throws Exception {
+      try (AutoCloseable cut = world.cutEndpointsOff(3)) {
+        assertEquals(503, world.call("GET", "/safe/x", Map.of()).status(), cut.toString());
+        long beganNanos = System.nanoTime();
+
+        Answer answer = world.call("GET", "/safe/y", Map.of());
+
+        long tookMs = (System.nanoTime() - beganNanos) / 1_000_000;
+        assertEquals(503, answer.status());
+        // All are asked at once, for as long as one connection may take.
+        assertTrue(
+            tookMs < 2 * EndpointConnections.CONNECT_TIMEOUT_MS, "refused after " + tookMs + " ms");
+      }
+    }
+
+    @Test
+    @DisplayName("serves calls again once an endpoint accepts connections")
+    void endpointIsBack() {
+      world.crashBoth();
+      assertEquals(503, world.call("GET", "/safe/x", Map.of()).status());
+      Await.result(world.first().restart());
+
+      Await.within(
+          2_000, "a call is served", () -> world.call("GET", "/safe/y", Map.of()).status() == 200);
+    }
+
     @Test
     @DisplayName("sends nothing to an endpoint that drains")
     void draining() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -19,7 +19,9 @@
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -122,6 +124,43 @@
     awaitUsable(1);
   }
 
+  /**
+   * Puts endpoints that accept no connection, as behind a cut, in place of the others; returns what
+   * ends them.
+   */
+  AutoCloseable cutEndpointsOff(int count) throws IOException {
+    List<Socket> filling = new ArrayList<>();
+    List<ServerSocket> silent = new ArrayList<>();
+    removeEndpoints();
+    for (int i = 0; i < count; i++) {
+      // Once the queue of a listener is full, further connections get no answer at all.
+      ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      silent.add(listener);
+      for (int connection = 0; connection < 2; connection++) {
+        filling.add(new Socket(listener.getInetAddress(), listener.getLocalPort()));
+      }
+      store.put(
+          "keyed.servers",
+          "cut" + i,
+          StandInEndpoint.entryAt(listener.getLocalPort(), "s", "ready", 1));
+    }
+    awaitUsable(count);
+    return () -> {
+      for (Socket each : filling) {
+        each.close();
+      }
+      for (ServerSocket each : silent) {
+        each.close();
+      }
+    };
+  }
+
+  /** Ends both endpoints, which stay listed. */
+  void crashBoth() {
+    Await.result(first.crash());
+    Await.result(second.crash());
+  }
+
   void removeEndpoints() {
     store.put("keyed.servers", "e1", "");
     store.put("keyed.servers", "e2", "");
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandInEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandInEndpoint.java
@@ -60,10 +60,19 @@
 
   /** Starts listening. */
   public Future<Void> start() {
+    return listen(0);
+  }
+
+  /** Starts listening at the address that it had before. */
+  public Future<Void> restart() {
+    return listen(port);
+  }
+
+  private Future<Void> listen(int at) {
     server = vertx.createHttpServer(new HttpServerOptions());
     return server
         .requestHandler(this::handle)
-        .listen(0, "127.0.0.1")
+        .listen(at, "127.0.0.1")
         .onSuccess(listening -> port = listening.actualPort())
         .mapEmpty();
   }
@@ -75,6 +84,11 @@
 
   /** Returns the entry that the endpoint keeps in the platform's list. */
   public String entry(String service, String state, long sequence) {
+    return entryAt(port, service, state, sequence);
+  }
+
+  /** Returns the entry of an endpoint at a port of this machine. */
+  public static String entryAt(int port, String service, String state, long sequence) {
     return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"dc\",\"version\":\"v1\","
             .formatted(service, port)
         + "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":%d,\"born\":1}"
