Wait a moment before the second connection to a broken endpoint

Cause: GatewayTest, "beside a VM that saw a request crash three endpoints", failed once in some 20 runs. Its log: the endpoint closes the connection, the VM connects again within 1 ms, the dying listener still accepts and resets, and the VM takes the endpoint for alive: 502, though two endpoints were sound. Change: a pause of 20 ms before an endpoint that broke a request off is tried again. The stand-in's crash now closes the connection 5 ms before its listener, as a process that dies may do. Test: the same one; with a pause of 1 ms it fails (1 endpoint ran instead of 3).

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -32,6 +32,9 @@
   /** Pause before a request that no endpoint took is offered again. */
   private static final long OFFER_AGAIN_MS = 20;
 
+  /** A process that crashes may accept connections for a moment; only one that lives does after. */
+  private static final long RECONNECT_MS = 20;
+
   /** When a refused client should come back: about one short request of a plain service. */
   private static final long RETRY_AFTER_MS = 100;
 
@@ -227,7 +230,7 @@
       return;
     }
     switch (step) {
-      case SAME_ENDPOINT -> connect(endpoint, true);
+      case SAME_ENDPOINT -> gateway.vertx().setTimer(RECONNECT_MS, fired -> reconnect(endpoint));
       case OTHER_ENDPOINT -> dispatch();
       case ANSWER_NOT_RUN -> refuse(UNAVAILABLE, "no endpoint took the request", RETRY_AFTER_MS);
       default -> refuse(BAD_GATEWAY, "the request may have run", 0);
@@ -302,6 +305,12 @@
     }
   }
 
+  private void reconnect(EndpointEntry endpoint) {
+    if (!over) {
+      connect(endpoint, true);
+    }
+  }
+
   private void connect(EndpointEntry endpoint, boolean fresh) {
     history.sending(endpoint.id());
     Optional<EndpointConnection> idle =
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandInEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandInEndpoint.java
@@ -21,6 +21,9 @@
   private static final int MISDIRECTED = 421;
   private static final int UNAVAILABLE = 503;
 
+  /** How long a crashing process still accepts connections after it has reset the first one. */
+  private static final long DYING_MS = 5;
+
   private final Vertx vertx;
   private final String id;
   private final Deque<Behaviour> next = new ArrayDeque<>();
@@ -141,7 +144,10 @@
     response.putHeader("X-Server-Load", "1,0,8,100");
     switch (behaviour) {
       case ANSWER_LOST -> request.connection().close();
-      case CRASHES -> crash();
+      case CRASHES -> {
+        request.connection().close();
+        vertx.setTimer(DYING_MS, dead -> crash());
+      }
       case HANGS ->
           request
               .connection()
