--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -11,6 +11,7 @@
 import io.magnoliaroute.standin.users.StandInEndpoint;
 import io.magnoliaroute.standin.users.StandInEndpoint.Behaviour;
 import io.magnoliaroute.standin.users.StandInStore;
+import java.io.IOException;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -43,7 +44,7 @@
   }
 
   @AfterEach
-  void stop() {
+  void stop() throws IOException {
     world.close();
   }
 
@@ -199,19 +200,18 @@
 
     @Test
     @DisplayName("refuses a call at once when it knows that no endpoint accepts connections")
-    void allCutOff() throws Exception {
-      try (AutoCloseable cut = world.cutEndpointsOff(3)) {
-        assertEquals(503, world.call("GET", "/safe/x", Map.of()).status(), cut.toString());
-        long beganNanos = System.nanoTime();
-
-        Answer answer = world.call("GET", "/safe/y", Map.of());
-
-        long tookMs = (System.nanoTime() - beganNanos) / 1_000_000;
-        assertEquals(503, answer.status());
-        // All are asked at once, for as long as one connection may take.
-        assertTrue(
-            tookMs < 2 * EndpointConnections.CONNECT_TIMEOUT_MS, "refused after " + tookMs + " ms");
-      }
+    void allCutOff() throws IOException {
+      world.cutEndpointsOff(3);
+      assertEquals(503, world.call("GET", "/safe/x", Map.of()).status());
+      long beganNanos = System.nanoTime();
+
+      Answer answer = world.call("GET", "/safe/y", Map.of());
+
+      long tookMs = (System.nanoTime() - beganNanos) / 1_000_000;
+      assertEquals(503, answer.status());
+      // All are asked at once, for as long as one connection may take.
+      assertTrue(
+          tookMs < 2 * EndpointConnections.CONNECT_TIMEOUT_MS, "refused after " + tookMs + " ms");
     }
 
     @Test
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayWorld.java
@@ -17,6 +17,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -49,6 +50,7 @@
   private final StandInEndpoint first = new StandInEndpoint(vertx, "e1");
   private final StandInEndpoint second = new StandInEndpoint(vertx, "e2");
   private final StandInEndpoint third = new StandInEndpoint(vertx, "e3");
+  private final List<Closeable> sockets = new ArrayList<>();
   private final int storePort;
   private Vertx vmRuntime = Vertx.vertx();
   private GatewayNode vm;
@@ -124,20 +126,15 @@
     awaitUsable(1);
   }
 
-  /**
-   * Puts endpoints that accept no connection, as behind a cut, in place of the others; returns what
-   * ends them.
-   */
-  AutoCloseable cutEndpointsOff(int count) throws IOException {
-    List<Socket> filling = new ArrayList<>();
-    List<ServerSocket> silent = new ArrayList<>();
+  /** Lists endpoints that accept no connection, as behind a cut, in place of the others. */
+  void cutEndpointsOff(int count) throws IOException {
     removeEndpoints();
     for (int i = 0; i < count; i++) {
       // Once the queue of a listener is full, further connections get no answer at all.
       ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      silent.add(listener);
+      sockets.add(listener);
       for (int connection = 0; connection < 2; connection++) {
-        filling.add(new Socket(listener.getInetAddress(), listener.getLocalPort()));
+        sockets.add(new Socket(listener.getInetAddress(), listener.getLocalPort()));
       }
       store.put(
           "keyed.servers",
@@ -145,14 +142,6 @@
           StandInEndpoint.entryAt(listener.getLocalPort(), "s", "ready", 1));
     }
     awaitUsable(count);
-    return () -> {
-      for (Socket each : filling) {
-        each.close();
-      }
-      for (ServerSocket each : silent) {
-        each.close();
-      }
-    };
   }
 
   /** Ends both endpoints, which stay listed. */
@@ -408,7 +397,10 @@
         .map(body -> new Answer(response.statusCode(), response.headers(), body.toString()));
   }
 
-  void close() {
+  void close() throws IOException {
+    for (Closeable each : sockets) {
+      each.close();
+    }
     Await.result(vmRuntime.close());
     Await.result(secondRuntime.close());
     Await.result(vertx.close());
