End the grace of expired entries at a fixed time after the store's return

Requests reached an endpoint 2,074 ms after the store had acknowledged its removal; the limit is 2,000 ms.

Cause: an entry that is removed after an outage stays usable for a grace period, because running endpoints need some time to register again. The period began when this VM read the removal, not when the store came back. Besides, a call from before the outage that failed late (a long poll of 5 s) began a second recovery: with no other call within 400 ms, the one failure counted as an outage.

Change: StoreHealth gives the time until which expired entries count, 2.6 s after the store's return (2 s for the endpoints, the rest for this VM's next read), and a failure proves an outage only if its call started after the last success. Removals by a peer's list still have no grace. endpoint_removed logs usable_ms and offset.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointDirectory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointDirectory.java
@@ -15,8 +15,8 @@
  * This VM's view of the registered endpoints.
  *
  * <p>Older entries never replace newer ones. An entry that expired during an outage of the store
- * stays usable for a grace period after the store has recovered, because a running endpoint needs
- * that long to register again. Not thread-safe; confined to one event loop.
+ * may stay usable for some time, because a running endpoint needs a while to register again. Not
+ * thread-safe; confined to one event loop.
  */
 public final class EndpointDirectory {
 
@@ -29,7 +29,6 @@
   /** Maximum number of tombstones; covers several days of endpoint replacements. */
   private static final int MAX_TOMBSTONES = 16_384;
 
-  private final long outageGraceMs;
   private final Map<EndpointId, EndpointState> endpoints = new HashMap<>();
   private final Map<EndpointId, EndpointTombstone> tombstones =
       new LinkedHashMap<>() {
@@ -49,15 +48,6 @@
     private long fallbackUntilMs;
   }
 
-  /**
-   * Creates an empty directory.
-   *
-   * @param outageGraceMs how long expired entries stay usable after an outage of the store
-   */
-  public EndpointDirectory(long outageGraceMs) {
-    this.outageGraceMs = outageGraceMs;
-  }
-
   /** Returns a revision that changes whenever the set of usable endpoints may have changed. */
   public long revision() {
     return revision;
@@ -90,16 +80,16 @@
   /**
    * Applies the removal of an entry and returns whether it changed this VM's view.
    *
-   * @param afterOutage whether the entry may have expired only because the store was unavailable
+   * @param usableUntilMs until when the endpoint stays usable because the entry may have expired
+   *     only because the store was unavailable; a time in the past if it cannot have
    */
-  public boolean remove(EndpointId id, boolean afterOutage, long nowMs) {
+  public boolean remove(EndpointId id, long usableUntilMs, long nowMs) {
     EndpointState state = endpoints.get(id);
     if (state == null || state.removed) {
       return false;
     }
     state.removed = true;
-    state.usableUntilMs =
-        afterOutage && !isDrainingOrTombstoned(state) ? nowMs + outageGraceMs : Long.MIN_VALUE;
+    state.usableUntilMs = isDrainingOrTombstoned(state) ? Long.MIN_VALUE : usableUntilMs;
     state.fallbackUntilMs = nowMs + FALLBACK_GRACE_MS;
     revision++;
     return true;
@@ -157,8 +147,13 @@
     return List.copyOf(all.values());
   }
 
-  /** Applies a complete listing; entries that are missing from it are removed. */
-  public void applyListing(Collection<EndpointEntry> listing, boolean afterOutage, long nowMs) {
+  /**
+   * Applies a complete listing; entries that are missing from it are removed.
+   *
+   * @param usableUntilMs until when the endpoints of removed entries stay usable, see {@link
+   *     #remove}
+   */
+  public void applyListing(Collection<EndpointEntry> listing, long usableUntilMs, long nowMs) {
     Set<EndpointId> listed = new HashSet<>();
     for (EndpointEntry entry : listing) {
       listed.add(entry.id());
@@ -166,7 +161,7 @@
     }
     for (EndpointId id : List.copyOf(endpoints.keySet())) {
       if (!listed.contains(id)) {
-        remove(id, afterOutage, nowMs);
+        remove(id, usableUntilMs, nowMs);
       }
     }
   }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointDirectoryTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointDirectoryTest.java
@@ -21,7 +21,7 @@
   private static final EndpointId ID = new EndpointId("e1");
   private static final long GRACE_PERIOD_MS = 2_000;
 
-  private final EndpointDirectory directory = new EndpointDirectory(GRACE_PERIOD_MS);
+  private final EndpointDirectory directory = new EndpointDirectory();
 
   private static EndpointEntry entry(boolean draining, long startedAtMs, long sequence) {
     return new EndpointEntry(
@@ -63,7 +63,7 @@
   @DisplayName("does not restore a removed endpoint from an old entry")
   void oldEntryAfterRemoval() {
     directory.apply(entry(false, 1, 5));
-    directory.remove(ID, false, 0);
+    directory.remove(ID, 0, 0);
 
     directory.apply(entry(false, 1, 5));
 
@@ -91,7 +91,7 @@
     void noFallback() {
       directory.apply(entry(false, 1, 1));
       directory.applyTombstone(new EndpointTombstone(ID, 1, EndpointTombstone.ALL_ENTRIES));
-      directory.remove(ID, true, 0);
+      directory.remove(ID, GRACE_PERIOD_MS, 0);
 
       assertFalse(isOffered(1));
     }
@@ -123,7 +123,7 @@
         "returns tombstones of removed endpoints, but not of those that may only have expired")
     void tombstonesOfRemovedEndpoints() {
       directory.apply(entry(false, 1, 5));
-      directory.remove(ID, true, 0);
+      directory.remove(ID, GRACE_PERIOD_MS, 0);
 
       assertEquals(List.of(), directory.tombstones(GRACE_PERIOD_MS - 1));
       assertEquals(List.of(new EndpointTombstone(ID, 1, 5)), directory.tombstones(GRACE_PERIOD_MS));
@@ -138,7 +138,7 @@
     @DisplayName("after a store outage, offers the endpoint until the grace period ends")
     void afterOutage() {
       directory.apply(entry(false, 1, 1));
-      directory.remove(ID, true, 1_000);
+      directory.remove(ID, 1_000 + GRACE_PERIOD_MS, 1_000);
 
       assertTrue(isOffered(1_000 + GRACE_PERIOD_MS - 1));
       assertFalse(isOffered(1_000 + GRACE_PERIOD_MS));
@@ -148,7 +148,7 @@
     @DisplayName("after a store outage, drops a draining endpoint immediately")
     void drainingAfterOutage() {
       directory.apply(entry(true, 1, 1));
-      directory.remove(ID, true, 1_000);
+      directory.remove(ID, 1_000 + GRACE_PERIOD_MS, 1_000);
 
       assertFalse(isOffered(1_000));
     }
@@ -159,7 +159,7 @@
       directory.apply(entry(false, 1, 1));
       directory.apply(other());
 
-      directory.applyListing(List.of(other()), false, 1_000);
+      directory.applyListing(List.of(other()), 0, 1_000);
 
       assertEquals(List.of(other()), directory.usableEndpoints("s", 1_000));
     }
@@ -169,7 +169,7 @@
     void lastOfService() {
       directory.apply(entry(false, 1, 1));
 
-      directory.remove(ID, false, 1_000);
+      directory.remove(ID, 0, 1_000);
 
       assertTrue(isOffered(1_000 + EndpointDirectory.FALLBACK_GRACE_MS - 1));
       assertFalse(isOffered(1_000 + EndpointDirectory.FALLBACK_GRACE_MS));
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -20,7 +20,7 @@
 
   private static final int SLOTS = 4;
 
-  private final EndpointDirectory directory = new EndpointDirectory(0);
+  private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointLoadTracker loads = new EndpointLoadTracker();
   private final PrefixCacheIndex prefixes = new PrefixCacheIndex(16);
   private final EndpointSelector selector =
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
@@ -71,7 +71,7 @@
   /** A discrete-event simulation of the data centre. */
   private static final class Simulation {
     private final Random random = new Random(11);
-    private final EndpointDirectory directory = new EndpointDirectory(0);
+    private final EndpointDirectory directory = new EndpointDirectory();
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final List<Vm> vms = new ArrayList<>();
     private final OutcomeAggregator aggregator = new OutcomeAggregator();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingState.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingState.java
@@ -10,10 +10,7 @@
  */
 final class RoutingState {
 
-  /** Running endpoints register again within about this time after an outage of the store. */
-  static final long REREGISTRATION_GRACE_MS = 2_000;
-
-  private final EndpointDirectory endpoints = new EndpointDirectory(REREGISTRATION_GRACE_MS);
+  private final EndpointDirectory endpoints = new EndpointDirectory();
   private Optional<RoutingTable> table = Optional.empty();
   private byte[] tableBytes = {};
   private boolean endpointsKnown;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
@@ -82,7 +82,7 @@
   void applyPeerEndpoints(List<EndpointEntry> entries, boolean current) {
     long before = routingState.endpoints().revision();
     if (current && !entries.isEmpty()) {
-      routingState.endpoints().applyListing(entries, false, clock.millis());
+      routingState.endpoints().applyListing(entries, clock.millis(), clock.millis());
     } else {
       entries.forEach(routingState.endpoints()::apply);
     }
@@ -109,14 +109,14 @@
     }
     routingState
         .endpoints()
-        .applyListing(listed, storeHealth.isUnavailableOrRecovering(), clock.millis());
+        .applyListing(listed, storeHealth.expiredEntriesUsableUntilMs(), clock.millis());
     routingState.markEndpointsKnown();
     log.line("endpoints_listed").put("entries", listed.size()).write();
   }
 
   private void applyEndpoint(StoreRecord record) {
     if (record.value().isEmpty()) {
-      applyRemoval(record.key());
+      applyRemoval(record.key(), record.offset());
       return;
     }
     Optional<EndpointEntry> entry = decode(record);
@@ -130,11 +130,17 @@
     }
   }
 
-  private void applyRemoval(String key) {
-    boolean afterOutage = storeHealth.isUnavailableOrRecovering();
+  private void applyRemoval(String key, long offset) {
+    long nowMs = clock.millis();
+    long usableUntilMs = storeHealth.expiredEntriesUsableUntilMs();
     try {
-      if (routingState.endpoints().remove(new EndpointId(key), afterOutage, clock.millis())) {
-        log.line("endpoint_removed").put("endpoint", key).put("after_outage", afterOutage).write();
+      if (routingState.endpoints().remove(new EndpointId(key), usableUntilMs, nowMs)) {
+        log.line("endpoint_removed")
+            .put("endpoint", key)
+            .put("after_outage", usableUntilMs > nowMs)
+            .put("usable_ms", Math.max(0, usableUntilMs - nowMs))
+            .put("offset", offset)
+            .write();
       }
     } catch (IllegalArgumentException e) {
       logMalformed(StoreClient.ENDPOINT_TOPIC, e.getMessage());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
@@ -23,11 +23,18 @@
    */
   private static final long SLOW_RETENTION_MS = 1_000;
 
+  /**
+   * How long after an outage removed entries count as expired by it. Running endpoints register
+   * again within about 2 s; the rest is the delay until this VM reads their entries.
+   */
+  static final long REREGISTRATION_GRACE_MS = 2_600;
+
   private final InstantSource clock;
   private final DecisionLog log;
   private long lastSuccessMs;
   private long failingSinceMs = Long.MAX_VALUE;
   private long outageEndedMs = Long.MIN_VALUE / 2;
+  private boolean outageConfirmed;
   private boolean outageLogged;
   private long lastSlowCallMs = Long.MIN_VALUE / 2;
 
@@ -43,9 +50,10 @@
 
   void recordSuccess() {
     long nowMs = clock.millis();
-    if (isUnavailable()) {
+    if (isUnavailable() && outageConfirmed) {
       outageEndedMs = nowMs;
     }
+    outageConfirmed = false;
     if (outageLogged) {
       outageLogged = false;
       log.line("dependency_regained")
@@ -57,7 +65,14 @@
     lastSuccessMs = nowMs;
   }
 
-  void recordFailure(Throwable cause) {
+  /**
+   * Records a failed call.
+   *
+   * @param startedMs when the call started; if another call has succeeded since, the failure does
+   *     not show that the store was unavailable
+   */
+  void recordFailure(Throwable cause, long startedMs) {
+    outageConfirmed |= startedMs >= lastSuccessMs;
     failingSinceMs = Math.min(failingSinceMs, clock.millis());
     if (isUnavailable() && !outageLogged) {
       outageLogged = true;
@@ -91,9 +106,14 @@
     return failingSinceMs != Long.MAX_VALUE && clock.millis() - failingSinceMs >= OUTAGE_AFTER_MS;
   }
 
-  /** Returns whether entries may have expired only because the store was unavailable. */
-  boolean isUnavailableOrRecovering() {
-    return isUnavailable() || clock.millis() - outageEndedMs < RoutingState.REREGISTRATION_GRACE_MS;
+  /**
+   * Returns until when the endpoint of an entry that is removed now stays usable: entries that
+   * expired because the store was unavailable are written again soon after its return. A time in
+   * the past if no outage can have caused the removal.
+   */
+  long expiredEntriesUsableUntilMs() {
+    long returnedMs = isUnavailable() ? clock.millis() : outageEndedMs;
+    return returnedMs + REREGISTRATION_GRACE_MS;
   }
 
   long sinceLastSuccessMs() {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
@@ -65,6 +65,7 @@
   }
 
   private void list() {
+    long startedMs = health.nowMs();
     store
         .listNewest(topic, 0)
         .onSuccess(
@@ -78,10 +79,11 @@
                 read();
               }
             })
-        .onFailure(e -> retry(e, this::list));
+        .onFailure(e -> retry(e, startedMs, this::list));
   }
 
   private void read() {
+    long startedMs = health.nowMs();
     store
         .read(topic, 0, nextOffset, timing.waitMs())
         .onSuccess(
@@ -96,7 +98,7 @@
               boolean expired =
                   e instanceof StoreException failure
                       && failure.kind() == StoreException.Kind.EXPIRED;
-              retry(e, expired ? this::list : this::read);
+              retry(e, startedMs, expired ? this::list : this::read);
             });
   }
 
@@ -124,10 +126,10 @@
     health.recordSuccess();
   }
 
-  private void retry(Throwable cause, Runnable step) {
+  private void retry(Throwable cause, long startedMs, Runnable step) {
     if (!(cause instanceof StoreException failure)
         || failure.kind() != StoreException.Kind.EXPIRED) {
-      health.recordFailure(cause);
+      health.recordFailure(cause, startedMs);
       failingSinceMs = Math.min(failingSinceMs, health.nowMs());
     }
     long delayMs = retryMs / 2 + 1 + random.nextLong(retryMs);
