Ignore a peer's view of the endpoints that is older than this VM's

Seen by callers and operators: DRAIN is possible for as long as a removed endpoint still runs. A VM that starts reads the store's list and then, 0.3 s later, asks three peers for their view. Peers read the list every 0.6 s. An endpoint that was removed just before the start, without having said that it drains, was added again from such a view, and nothing took it out: its removal lies before the offset from which this VM reads on.

The peer's flag "current" says that its reads succeed, not how far it has read.

Change: the reply carries the offset up to which the sender's view includes the endpoints' entries. A view is applied, as a whole, only if it is ahead of this VM's own; departures that endpoints reported in answers are applied as before. The offset replaces the flag, so VMs of this version and earlier ones do not understand each other's reply.

Evidence: LeavingEndpointTest.olderViewOfPeerDoesNotRestoreRemovedEndpoint fails on (2 usable endpoints where 1 is expected) and passes now.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -168,7 +168,6 @@
                 reachability,
                 departures,
                 outcomeSharing,
-                () -> routingStateOutdated.getAsBoolean(),
                 clock::millis),
             random);
     crashQuarantine.setListener(peerMessageHandler::broadcastCrash);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -42,7 +41,6 @@
   private final ReachabilityMonitor reachability;
   private final DepartureTracker departures;
   private final OutcomeSharing outcomeSharing;
-  private final BooleanSupplier routingStateOutdated;
   private final LongSupplier nowMs;
   private final RandomGenerator random;
   private boolean receivedPeerState;
@@ -60,7 +58,6 @@
       ReachabilityMonitor reachability,
       DepartureTracker departures,
       OutcomeSharing outcomeSharing,
-      BooleanSupplier routingStateOutdated,
       LongSupplier nowMs) {}
 
   PeerMessageHandler(PeerConnections peers, Dependencies dependencies, RandomGenerator random) {
@@ -75,7 +72,6 @@
     this.reachability = dependencies.reachability();
     this.departures = dependencies.departures();
     this.outcomeSharing = dependencies.outcomeSharing();
-    this.routingStateOutdated = dependencies.routingStateOutdated();
     this.nowMs = dependencies.nowMs();
     this.random = random;
   }
@@ -258,7 +254,7 @@
     return new PeerMessage.RoutingStateReply(
         request.request(),
         Bytes.copyOf(config),
-        !routingStateOutdated.getAsBoolean(),
+        routingState.endpointsOffset(),
         endpoints,
         tombstones,
         vms);
@@ -285,6 +281,6 @@
               endpoint.startedAtMs(),
               endpoint.sequence()));
     }
-    routingStateUpdater.applyPeerEndpoints(endpoints, reply.current());
+    routingStateUpdater.applyPeerEndpoints(endpoints, reply.endpointsOffset());
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingState.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingState.java
@@ -14,6 +14,7 @@
   private Optional<RoutingTable> table = Optional.empty();
   private byte[] tableBytes = {};
   private boolean endpointsKnown;
+  private long endpointsOffset = -1;
 
   Optional<RoutingTable> table() {
     return table;
@@ -42,6 +43,19 @@
     return true;
   }
 
+  /**
+   * Returns the offset in the store up to which this VM's view includes the endpoints' entries;
+   * negative while it has no view.
+   */
+  long endpointsOffset() {
+    return endpointsOffset;
+  }
+
+  /** Records that this VM's view includes the endpoints' entries up to an offset. */
+  void recordEndpointsOffset(long offset) {
+    endpointsOffset = Math.max(endpointsOffset, offset);
+  }
+
   /** Marks the endpoints as known after a listing of them has been read. */
   void markEndpointsKnown() {
     endpointsKnown = true;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
@@ -50,12 +50,14 @@
     return new StoreTail.Listener() {
       @Override
       public void onListing(StoreClient.Listing listing) {
+        routingState.recordEndpointsOffset(listing.end());
         applyEndpointListing(listing.records());
       }
 
       @Override
       public void onRecords(StoreClient.Page page) {
         page.malformed().forEach(problem -> logMalformed(StoreClient.ENDPOINT_TOPIC, problem));
+        routingState.recordEndpointsOffset(page.nextOffset());
         page.records().forEach(RoutingStateUpdater.this::applyEndpoint);
       }
     };
@@ -74,23 +76,26 @@
   }
 
   /**
-   * Applies the endpoints that a peer reported.
+   * Applies the endpoints that a peer reported, unless this VM's view is at least as recent: an
+   * older view still has endpoints that have been removed since.
    *
-   * @param current whether the peer's view is up to date, so that endpoints missing from it have
-   *     been removed
+   * @param offset the offset in the store up to which the peer's view includes the entries
    */
-  void applyPeerEndpoints(List<EndpointEntry> entries, boolean current) {
-    long before = routingState.endpoints().revision();
-    if (current && !entries.isEmpty()) {
-      routingState.endpoints().applyListing(entries, clock.millis(), clock.millis());
-    } else {
-      entries.forEach(routingState.endpoints()::apply);
-    }
-    if (!entries.isEmpty()) {
-      routingState.markEndpointsKnown();
+  void applyPeerEndpoints(List<EndpointEntry> entries, long offset) {
+    long ownOffset = routingState.endpointsOffset();
+    if (entries.isEmpty() || offset <= ownOffset) {
+      return;
     }
+    long before = routingState.endpoints().revision();
+    routingState.endpoints().applyListing(entries, clock.millis(), clock.millis());
+    routingState.recordEndpointsOffset(offset);
+    routingState.markEndpointsKnown();
     if (routingState.endpoints().revision() != before) {
-      log.line("endpoints_from_peer").put("entries", entries.size()).write();
+      log.line("endpoints_from_peer")
+          .put("entries", entries.size())
+          .put("offset", offset)
+          .put("own_offset", ownOffset)
+          .write();
     }
   }
 
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -50,7 +50,7 @@
   private final HttpClient client = vertx.createHttpClient();
   private final Context clientContext = vertx.getOrCreateContext();
   private final StandinStore store = new StandinStore(vertx);
-  private final StandinStore refusingStore = new StandinStore(secondVertx);
+  private final StandinStore secondStore = new StandinStore(secondVertx);
   private final StandinEndpoint firstEndpoint = new StandinEndpoint(vertx, "e1");
   private final StandinEndpoint secondEndpoint = new StandinEndpoint(vertx, "e2");
   private final StandinEndpoint thirdEndpoint = new StandinEndpoint(vertx, "e3");
@@ -344,11 +344,24 @@
 
   /** Starts a second VM in another data centre, whose store refuses every call. */
   void startSecondVmWithoutStore() {
-    refusingStore.setFault(StandinStore.Fault.DOWN);
-    int port = Await.result(refusingStore.start());
+    secondStore.setFault(StandinStore.Fault.DOWN);
+    int port = Await.result(secondStore.start());
     secondVm = startVm(secondVertx, port, "vm-2", "dc2", firstVmAddress());
   }
 
+  /**
+   * Starts a second VM with a store of its own that has the records of the first store up to now,
+   * and no later ones. The VM considers its view current, although it is older than the first one.
+   */
+  void startSecondVmWithOlderView() {
+    secondStore.put("keyed.op", "config", StandinConfiguration.json(3, "/other/"));
+    secondStore.put("keyed.servers", "e1", firstEndpoint.entry("s", "ready", 1));
+    secondStore.put("keyed.servers", "e2", secondEndpoint.entry("s", "ready", 1));
+    int port = Await.result(secondStore.start());
+    secondVm = startVm(secondVertx, port, "vm-2", "dc2", List.of());
+    Await.until("the second VM is ready", () -> secondReadyStatus() == 200);
+  }
+
   private List<HostPort> firstVmAddress() {
     return List.of(new HostPort("127.0.0.1", vm.peerPort()));
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/LeavingEndpointTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/LeavingEndpointTest.java
@@ -93,4 +93,17 @@
 
     assertEquals(1, environment.usableEndpointsAtFirstVm());
   }
+
+  @Test
+  @DisplayName("does not use an endpoint again that was removed and that an older view still has")
+  void olderViewOfPeerDoesNotRestoreRemovedEndpoint() {
+    environment.startSecondVmWithOlderView();
+    environment.store().put("keyed.servers", "e2", "");
+
+    environment.restartVmBesideSecond();
+    Await.until("the VM has its peer's view", () -> environment.vm().knownVms() == 2);
+    Await.until("ready", () -> environment.readyStatus() == 200);
+
+    assertEquals(1, environment.usableEndpointsAtFirstVm());
+  }
 }
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -240,16 +240,16 @@
    *
    * @param request the number of the request
    * @param config the configuration; empty if the requester has this version or a newer one
-   * @param current whether the sender's reads of the store succeed, so that endpoints missing from
-   *     its list have been removed
-   * @param endpoints the endpoints
+   * @param endpointsOffset the offset in the store up to which the sender has applied the
+   *     endpoints' entries; negative if it has not listed them yet
+   * @param endpoints all endpoints as of this offset
    * @param gone the tombstones of endpoints, so that older lists do not restore the endpoints
    * @param vms the VMs
    */
   record RoutingStateReply(
       long request,
       Bytes config,
-      boolean current,
+      long endpointsOffset,
       List<EndpointInfo> endpoints,
       List<EndpointDeparture> gone,
       List<VmInfo> vms)
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -61,7 +61,7 @@
         new PeerMessage.RoutingStateReply(
             1,
             BYTES,
-            true,
+            42L,
             List.of(new PeerMessage.EndpointInfo("e1", "s", "127.0.0.1", 7, "dc", 8, true, 1, 2)),
             List.of(new PeerMessage.EndpointDeparture("e2", 5, 7)),
             List.of(new PeerMessage.VmInfo("vm-1", "127.0.0.1", 7, "dc"))));
