Answer the requests that arrive while a stopping VM releases its budgets

Seen by callers: LOST.

Cause: a stopping VM waits until no client is connected, then releases its token budgets, which takes up to 300 ms, and exits when that is done. Connections that were opened meanwhile were served, but not waited for.

Change: after the release the VM waits again until no client is connected, within the same limit. Refusing new connections during the release was tried first; GatewayTest underLoad, which holds a VM to answer until it has stopped, failed with it.

Evidence: GatewayTest.requestDuringReleaseOfBudgetsIsNotCut fails without the change ("stopped with a request in progress") and passes with it.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -328,35 +328,48 @@
     clientServer.beginShutdown();
     vmDirectory.deregister();
     allowances.beginDrain();
+    long limitMs = startedMs + settings.stopGracePeriodMs() - STOP_MARGIN_MS;
+    awaitIdle(startedMs + REMOVAL_DELAY_MS, limitMs, () -> releaseBudgets(limitMs, done));
+  }
+
+  /**
+   * Runs the next step of the shutdown once no client connection is open, at the limit at the
+   * latest.
+   */
+  private void awaitIdle(long earliestMs, long limitMs, Runnable next) {
     vertx.setPeriodic(
         STOP_CHECK_MS,
         timer -> {
-          long elapsedMs = clock.millis() - startedMs;
-          if (elapsedMs < REMOVAL_DELAY_MS) {
+          long nowMs = clock.millis();
+          if (nowMs < earliestMs) {
             return;
           }
           clientServer.closeIdle();
           boolean idle = clientServer.activeRequests() == 0 && clientServer.openConnections() == 0;
-          if (idle || elapsedMs >= settings.stopGracePeriodMs() - STOP_MARGIN_MS) {
+          if (idle || nowMs >= limitMs) {
             vertx.cancelTimer(timer);
-            releaseBudgets(done);
+            next.run();
           }
         });
   }
 
   /**
    * Releases the budgets last, because other VMs use the budget slices of this one until it exits.
+   * Requests that arrive meanwhile are still answered.
    */
-  private void releaseBudgets(Promise<Void> done) {
-    vertx.setTimer(RELEASE_TIMEOUT_MS, timedOut -> completeStop(done));
-    allowances.release().onComplete(released -> completeStop(done));
+  private void releaseBudgets(long limitMs, Promise<Void> done) {
+    Promise<Void> released = Promise.promise();
+    vertx.setTimer(RELEASE_TIMEOUT_MS, timedOut -> released.tryComplete());
+    allowances.release().onComplete(ignored -> released.tryComplete());
+    released
+        .future()
+        .onComplete(ended -> awaitIdle(clock.millis(), limitMs, () -> completeStop(done)));
   }
 
   private void completeStop(Promise<Void> done) {
-    if (done.tryComplete()) {
-      log.line("stopped").put("requests_cut", clientServer.activeRequests()).write();
-      log.flush();
-    }
+    log.line("stopped").put("requests_cut", clientServer.activeRequests()).write();
+    log.flush();
+    done.complete();
   }
 
   boolean isReady() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -11,6 +11,7 @@
 import io.magnoliaroute.standin.users.StandinEndpoint;
 import io.magnoliaroute.standin.users.StandinEndpoint.Behaviour;
 import io.magnoliaroute.standin.users.StandinStore;
+import io.vertx.core.Future;
 import java.io.IOException;
 import java.util.Collections;
 import java.util.List;
@@ -529,6 +530,19 @@
       assertEquals(List.of(200), statuses.stream().distinct().toList());
     }
 
+    @Test
+    @DisplayName("accepts no request that it would cut off while it releases its budgets")
+    void requestDuringReleaseOfBudgetsIsNotCut() {
+      assertEquals(200, environment.sendTurn("p1", 300, 100).status());
+      environment.store().setFault(StandinStore.Fault.SILENT);
+
+      Future<Void> stopped = environment.beginVmStop();
+      Future<?> response = environment.sendUnansweredAfter(2_450, 500);
+      Await.result(stopped);
+
+      assertTrue(response.isComplete(), "stopped with a request in progress");
+    }
+
     @Test
     @DisplayName("becomes unready immediately and still serves requests that arrive")
     void notReady() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -34,6 +34,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -435,6 +436,25 @@
     return statuses;
   }
 
+  /**
+   * Sends a request after a delay, on a new connection, to an endpoint that does not respond; it
+   * ends at its deadline.
+   */
+  Future<Response> sendUnansweredAfter(long delayMs, long deadlineMs) {
+    setNextBehaviour(StandinEndpoint.Behaviour.HANGS);
+    Map<String, String> headers =
+        Map.of(
+            "X-Request-Id",
+            String.valueOf(++lastRequestId),
+            "Host",
+            "h",
+            "X-Deadline-Ms",
+            String.valueOf(deadlineMs));
+    return vertx
+        .timer(delayMs, TimeUnit.MILLISECONDS)
+        .compose(fired -> send(vm.clientPort(), HttpMethod.POST, "/unsafe/x", headers));
+  }
+
   private static GatewayNode startVm(
       Vertx runtime, int storePort, String name, String dataCentre, List<HostPort> seeds) {
     BootSettings settings =
