List a budget partition again when its unread records have been dropped

Seen by callers: 503 "token budget not known" for every program of a partition, until the VM restarts.

Cause: the store keeps 20 s of history. A VM that holds a partition and has not read it for that long gets 410 for its next read, and read from the same offset again each time.

Change: a read that is answered 410 is replaced by a listing of the newest record of each program, which names all that has been granted. The stand-in store can drop its history.

Evidence: GatewayTest.continuesAfterUnreadRecordsAreDropped fails without the change (not granted in 20 s) and passes with it.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -329,6 +329,27 @@
             page -> {
               partition.applyRecords(
                   decodeGrants(page.records()), page.nextOffset(), clock.millis());
+              return (Void) null;
+            })
+        .recover(e -> isExpired(e) ? readNewest() : Future.failedFuture(e));
+  }
+
+  private static boolean isExpired(Throwable cause) {
+    return cause instanceof StoreException failure && failure.kind() == StoreException.Kind.EXPIRED;
+  }
+
+  // The newest record of each program names all that has been granted, so that the dropped ones
+  // are not needed.
+  private Future<Void> readNewest() {
+    return trackCallStart(store.listNewest(TOPIC, partitionNumber))
+        .map(
+            listing -> {
+              partition.applyRecords(
+                  decodeGrants(listing.records()), listing.end(), clock.millis());
+              log.line("allowances_listed")
+                  .put("partition", partitionNumber)
+                  .put("end", listing.end())
+                  .write();
               return null;
             });
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -456,6 +456,19 @@
       assertEquals(Collections.nCopies(8, 200), environment.sendTurnsToSecondVm(8, 1_000, 100));
     }
 
+    @Test
+    @DisplayName("grants turns again after the store has dropped records that it has not read")
+    void continuesAfterUnreadRecordsAreDropped() {
+      Await.until("the records are loaded", () -> environment.loadedPartitionsAtFirstVm() == 2);
+      environment.store().put("keyed.allowances", "other", "malformed");
+      environment.store().dropHistory("keyed.allowances", 0);
+
+      for (int program = 0; program < 8; program++) {
+        String id = "p" + program;
+        Await.until("granted", () -> environment.sendTurn(id, 300, 100).status() == 200);
+      }
+    }
+
     @Test
     @DisplayName("records a turn for a peer that cannot reach the store")
     void recordsForPeer() {
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinStore.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinStore.java
@@ -20,12 +20,14 @@
 
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
+  private static final int GONE = 410;
   private static final int PRECONDITION_FAILED = 412;
   private static final int UNAVAILABLE = 503;
   private static final long POLL_INTERVAL_MS = 5;
 
   private final Vertx vertx;
   private final Map<String, List<byte[]>> partitions = new HashMap<>();
+  private final Map<String, Integer> firstRetained = new HashMap<>();
   private HttpServer server;
   private Fault fault = Fault.NONE;
 
@@ -62,6 +64,11 @@
     partition(topic, "0").add(record(key, value.getBytes(StandardCharsets.UTF_8)));
   }
 
+  /** Drops the history of a partition; only the newest record of each key can still be listed. */
+  public synchronized void dropHistory(String topic, int part) {
+    firstRetained.put(topic + "/" + part, recordCount(topic, part));
+  }
+
   /** Returns the number of records in a partition. */
   public synchronized int recordCount(String topic, int part) {
     return partition(topic, String.valueOf(part)).size();
@@ -136,12 +143,18 @@
 
   private synchronized void read(HttpServerRequest request, List<byte[]> partition, long waitMs) {
     int from = Integer.parseInt(request.getParam("from"));
+    String name = request.getParam("topic") + "/" + request.getParam("part");
+    int first = firstRetained.getOrDefault(name, 0);
+    if (from < first) {
+      request.response().setStatusCode(GONE).end(new JsonObject().put("first", first).toBuffer());
+      return;
+    }
     if (from >= partition.size() && waitMs > 0) {
       vertx.setTimer(
           POLL_INTERVAL_MS, timer -> read(request, partition, waitMs - POLL_INTERVAL_MS));
       return;
     }
-    Buffer page = Buffer.buffer().appendLong(partition.size()).appendLong(0);
+    Buffer page = Buffer.buffer().appendLong(partition.size()).appendLong(first);
     for (int offset = from; offset < partition.size(); offset++) {
       byte[] content = partition.get(offset);
       page.appendInt(content.length).appendBytes(content);
