--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
@@ -23,9 +23,9 @@
   static final double PREFILL_TOKENS_PER_MS = 205;
 
   /**
-   * Cost of a prefill as a multiple of its duration: while an engine processes a prompt, the other
-   * requests of its batch get no tokens. Most loads are not known, so the number of requests is a
-   * fixed one, as on an engine of 12 slots that is a quarter full.
+   * Cost of a prefill as a multiple of its duration, because the other running requests of the
+   * engine's batch get no tokens meanwhile. Assumes three of them: in a large fleet, a VM does not
+   * know the load of most engines.
    */
   static final double PREFILL_COST_FACTOR = 4;
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -331,11 +331,7 @@
                   decodeGrants(page.records()), page.nextOffset(), clock.millis());
               return (Void) null;
             })
-        .recover(e -> isExpired(e) ? readNewest() : Future.failedFuture(e));
-  }
-
-  private static boolean isExpired(Throwable cause) {
-    return cause instanceof StoreException failure && failure.kind() == StoreException.Kind.EXPIRED;
+        .recover(e -> StoreException.isExpired(e) ? readNewest() : Future.failedFuture(e));
   }
 
   // The newest record of each program names all that has been granted, so that the dropped ones
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
@@ -95,10 +95,7 @@
             })
         .onFailure(
             e -> {
-              boolean expired =
-                  e instanceof StoreException failure
-                      && failure.kind() == StoreException.Kind.EXPIRED;
-              retry(e, startedMs, expired ? this::list : this::read);
+              retry(e, startedMs, StoreException.isExpired(e) ? this::list : this::read);
             });
   }
 
@@ -127,8 +124,7 @@
   }
 
   private void retry(Throwable cause, long startedMs, Runnable step) {
-    if (!(cause instanceof StoreException failure)
-        || failure.kind() != StoreException.Kind.EXPIRED) {
+    if (!StoreException.isExpired(cause)) {
       health.recordFailure(cause, startedMs);
       failingSinceMs = Math.min(failingSinceMs, health.nowMs());
     }
