Log the request limits of endpoints, repeated sends and requests for reports

An endpoint may get more requests than the limit that it reports in its responses. Three causes were possible: nothing reads the limit; each VM keeps it but all together do not; or the excess comes from repeated sends and requests for engine reports. The logs could not tell them apart.

The VM logs request_limit_changed and request_limit_ended for each endpoint, report_requested for each request for a report, and the number of sends in request_sent. Routing does not change.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -439,6 +439,7 @@
         .put("busy", (long) gateway.loads().estimatedRequests(endpoint.id(), now()))
         .put("pace_percent", (long) (100 * gateway.loads().slowdown(endpoint.id(), now())))
         .put("entry_sequence", endpoint.sequence())
+        .put("sends", history.attempts())
         .put("left_ms", leftMs)
         .put("after_event", eventSplitter.lastId().orElse(""))
         .write();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -214,6 +214,7 @@
         connections,
         reachability,
         departures,
+        new RequestLimitTracker(log),
         watchdog,
         new ResponseMemoryLimiter(),
         allowances,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -213,6 +213,9 @@
       fail(AttemptFailure.BROKEN, "response belongs to another request");
       return;
     }
+    if (!responseHead.isMisdirected()) {
+      gateway.requestLimits().onResponseHead(endpoint(), responseHead);
+    }
     received.exceptionHandler(
         e -> {
           responseFailed = true;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -158,6 +158,7 @@
       return;
     }
     long receivedBeforeMs = attempt.lastReceivedAtMs();
+    log.line("report_requested").put("endpoint", attempt.endpoint().id().value()).write();
     prober
         .fetchReport(attempt.endpoint())
         .onComplete(
