--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -402,6 +402,27 @@
     return served;
   }
 
+  /**
+   * Sends requests at a constant rate, alternately to the VMs, and returns the status codes; 0 if a
+   * connection was closed.
+   */
+  List<Integer> sendAtRate(int requestsPerS, long durationMs, String path) {
+    List<Future<Integer>> sent = new ArrayList<>();
+    long intervalMs = 1_000 / requestsPerS;
+    for (int i = 0; i < durationMs / intervalMs; i++) {
+      GatewayNode target = i % 2 == 0 || secondVm == null ? vm : secondVm;
+      Map<String, String> headers =
+          Map.of("X-Request-Id", String.valueOf(++lastRequestId), "Host", "h");
+      sent.add(
+          vertx
+              .timer(Math.max(1, i * intervalMs), TimeUnit.MILLISECONDS)
+              .compose(due -> send(target.clientPort(), HttpMethod.GET, path, headers))
+              .map(Response::status)
+              .otherwise(0));
+    }
+    return Await.result(Future.join(sent).map(joined -> joined.<Integer>list()));
+  }
+
   /** Returns how often one VM considered the other one lost. */
   int countLostPeers() {
     return countLostPeers(vm) + countLostPeers(secondVm);
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** An endpoint that serves plain requests and event streams, with fault injection. */
@@ -39,6 +40,7 @@
   private HttpServer server;
   private int port;
   private int abortedRequests;
+  private Optional<String> requestLimit = Optional.empty();
 
   /** How the endpoint handles a request. */
   public enum Behaviour {
@@ -116,6 +118,14 @@
     nextBehaviours.add(behaviour);
   }
 
+  /**
+   * Sets the request limit that the endpoint reports in its responses, in requests per second; it
+   * does not enforce the limit.
+   */
+  public synchronized void setRequestLimit(Optional<String> limit) {
+    requestLimit = limit;
+  }
+
   /** Returns the ids of all requests that have started to run. */
   public synchronized List<String> executedRequestIds() {
     return List.copyOf(executedRequestIds);
@@ -142,6 +152,7 @@
       response.setStatusCode(MISDIRECTED).end();
       return;
     }
+    requestLimit.ifPresent(limit -> response.putHeader("Server-Limit", limit));
     Behaviour behaviour = nextBehaviours.isEmpty() ? Behaviour.SOUND : nextBehaviours.poll();
     if (SHUTTING_DOWN.contains(behaviour)) {
       response.putHeader("Server-Leaving", "1");
