Keep all VMs together within the request limits of endpoints

Cause: no VM used the limit that endpoints report in their responses. The class is knowledge about an endpoint that one process has and the fleet needs: the limit holds for the sum over all VMs, and no VM sees that sum.

Change: a limited endpoint gets a request only with a permit. One VM of the endpoint's data centre, found by rendezvous hashing among the reachable ones, issues the permits of an endpoint from a token bucket (half a second of burst, empty at a takeover, and only the share of VMs it reaches). Fixed shares were weighed: at 21 VMs a limit of 8 is 0.4 a second for each, and what idle VMs don't use is lost. Requests, repeated sends, resumed streams and engine reports need permits. The selector passes over endpoints without a permit; if no other is left, a permit for later is reserved or the request is refused at once, with the time of the next permit as Retry-After; lower ranks are refused at half the delay. The VM that learns of a limit or of its end tells the issuing VM, which tells all; a VM that starts asks its peers. A limit belongs to one start of an endpoint, and a response to a request from before the limit was known doesn't end it. A limit of zero still gets a request every 4 s, since only responses show its end.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
@@ -10,6 +10,8 @@
   REFUSED_GONE(false, true),
   /** The endpoint is draining; the request was not sent, and running requests continue. */
   LEAVING(false, false),
+  /** The endpoint's request limit allows no further request soon; the request was not sent. */
+  RATE_LIMITED(false, false),
   /** The connection broke, or the received bytes were not a response to this request. */
   BROKEN(true, false),
   /** The endpoint stopped responding and accepts no connections. */
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
@@ -35,6 +35,9 @@
   /** Cost of a request to another data centre: one round trip on the link and its traffic. */
   static final double REMOTE_DATA_CENTRE_COST_MS = 15;
 
+  /** Cost of an endpoint with a request limit: the time to obtain a permit from another VM. */
+  static final double LIMITED_ENDPOINT_COST_MS = 4;
+
   /** Cost of a suspect endpoint: the time until an attempt at an unreachable one is abandoned. */
   static final double SUSPECT_COST_MS = 500;
 
@@ -51,6 +54,7 @@
   private final EndpointLoadTracker loads;
   private final PrefixCacheIndex prefixCache;
   private final ServiceTimeAverages serviceTimes;
+  private final RequestLimits requestLimits;
   private final String dataCentre;
 
   /** Creates a selector for a VM in the given data centre. */
@@ -59,11 +63,13 @@
       EndpointLoadTracker loads,
       PrefixCacheIndex prefixCache,
       ServiceTimeAverages serviceTimes,
+      RequestLimits requestLimits,
       String dataCentre) {
     this.directory = directory;
     this.loads = loads;
     this.prefixCache = prefixCache;
     this.serviceTimes = serviceTimes;
+    this.requestLimits = requestLimits;
     this.dataCentre = dataCentre;
   }
 
@@ -73,13 +79,36 @@
    * @param service the service that the request goes to
    * @param metadata the metadata that the client sent with the request
    * @param avoided endpoints that failed this request
-   * @return the endpoint, or empty if every usable endpoint of the service is in {@code avoided}
+   * @return the endpoint, or empty if every usable endpoint of the service is in {@code avoided} or
+   *     has no permit available
    */
   public Optional<EndpointEntry> select(
       String service, RequestMetadata metadata, Set<EndpointId> avoided, long nowMs) {
     List<EndpointEntry> usable = directory.usableEndpoints(service, nowMs);
     Optional<EndpointEntry> best = cheapest(usable, service, metadata, avoided, nowMs, true);
-    return best.isPresent() ? best : cheapest(usable, service, metadata, avoided, nowMs, false);
+    if (best.isPresent() || selectByPermit(service, avoided, nowMs).isPresent()) {
+      return best;
+    }
+    return cheapest(usable, service, metadata, avoided, nowMs, false);
+  }
+
+  /**
+   * Selects, for a request that found no endpoint without a delay, the reachable endpoint whose
+   * request limit allows the next request first.
+   */
+  public Optional<EndpointEntry> selectByPermit(
+      String service, Set<EndpointId> avoided, long nowMs) {
+    EndpointEntry best = null;
+    for (EndpointEntry endpoint : directory.usableEndpoints(service, nowMs)) {
+      if (requestLimits.isExhausted(endpoint, nowMs)
+          && !avoided.contains(endpoint.id())
+          && !loads.isUnreachable(endpoint.id())
+          && (best == null
+              || requestLimits.exhaustedUntilMs(endpoint) < requestLimits.exhaustedUntilMs(best))) {
+        best = endpoint;
+      }
+    }
+    return Optional.ofNullable(best);
   }
 
   private Optional<EndpointEntry> cheapest(
@@ -93,6 +122,7 @@
     double bestMs = Double.MAX_VALUE;
     for (EndpointEntry endpoint : usable) {
       if (avoided.contains(endpoint.id())
+          || requestLimits.isExhausted(endpoint, nowMs)
           || (reachableOnly && loads.isUnreachable(endpoint.id()))) {
         continue;
       }
@@ -125,6 +155,9 @@
     if (loads.isSuspect(endpoint.id())) {
       costMs += SUSPECT_COST_MS;
     }
+    if (requestLimits.find(endpoint).isPresent()) {
+      costMs += LIMITED_ENDPOINT_COST_MS;
+    }
     if (!endpoint.dataCentre().equals(dataCentre)) {
       costMs += REMOTE_DATA_CENTRE_COST_MS;
     }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -23,8 +23,9 @@
   private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointLoadTracker loads = new EndpointLoadTracker();
   private final PrefixCacheIndex prefixes = new PrefixCacheIndex(16);
+  private final RequestLimits limits = new RequestLimits();
   private final EndpointSelector selector =
-      new EndpointSelector(directory, loads, prefixes, new ServiceTimeAverages(), "here");
+      new EndpointSelector(directory, loads, prefixes, new ServiceTimeAverages(), limits, "here");
   private final EndpointEntry first = add("e1", "here");
   private final EndpointEntry second = add("e2", "here");
 
@@ -137,4 +138,24 @@
   void allFailed() {
     assertTrue(selector.select("s", request("r"), Set.of(first.id(), second.id()), 0).isEmpty());
   }
+
+  @Test
+  @DisplayName("passes over an endpoint whose request limit is used up")
+  void usedUpLimit() {
+    limits.apply(new RequestLimit(first.id(), 1, 5), 0);
+    limits.markExhausted(first, 100);
+
+    assertAllRoutedTo(second);
+  }
+
+  @Test
+  @DisplayName("selects no unreachable endpoint while another one only has no permit left")
+  void usedUpLimitBesideUnreachableEndpoint() {
+    loads.markUnreachable(second.id(), 0);
+    limits.apply(new RequestLimit(first.id(), 1, 5), 0);
+    limits.markExhausted(first, 100);
+
+    assertEquals(Optional.empty(), selector.select("s", request("r"), Set.of(), 0));
+    assertEquals(Optional.of(first), selector.selectByPermit("s", Set.of(), 0));
+  }
 }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/LargeFleetPlacementTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/LargeFleetPlacementTest.java
@@ -60,7 +60,8 @@
     private final EndpointSelector selector;
 
     private Vm(String dataCentre) {
-      selector = new EndpointSelector(directory, loads, prefixes, times, dataCentre);
+      selector =
+          new EndpointSelector(directory, loads, prefixes, times, new RequestLimits(), dataCentre);
     }
   }
 
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
@@ -41,7 +41,8 @@
 
     Vm(EndpointDirectory directory) {
       selector =
-          new EndpointSelector(directory, loads, new PrefixCacheIndex(16), serviceTimes, "dc");
+          new EndpointSelector(
+              directory, loads, new PrefixCacheIndex(16), serviceTimes, new RequestLimits(), "dc");
     }
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -316,18 +316,78 @@
       return;
     }
     if (selected.isPresent()) {
-      connect(selected.get(), false);
+      connectWithPermit(selected.get(), false, 0);
+      return;
+    }
+    Optional<EndpointEntry> limited =
+        gateway.endpointSelector().selectByPermit(service, history.avoidedEndpoints(), now());
+    if (limited.isPresent()) {
+      connectWithPermit(limited.get(), false, maxPermitDelayMs());
       return;
     }
     history.avoidedEndpoints().clear();
-    long waitedMs = now() - request.arrivedMs();
-    if (waitedMs >= (deadlineMs - request.arrivedMs()) / ENDPOINT_WAIT_DIVISOR) {
+    if (remainingWaitMs() <= 0) {
       refuseWithoutEndpoint(RETRY_AFTER_MS);
       return;
     }
     gateway.vertx().setTimer(PLACEMENT_RETRY_MS, fired -> dispatch());
   }
 
+  private long remainingWaitMs() {
+    long maxWaitMs = (deadlineMs - request.arrivedMs()) / ENDPOINT_WAIT_DIVISOR;
+    return maxWaitMs - (now() - request.arrivedMs());
+  }
+
+  // While permits are short, requests of a lower priority are refused at half of the delay that
+  // requests of the highest priority accept, so the latter still find permits.
+  private long maxPermitDelayMs() {
+    long remainingMs = Math.max(0, remainingWaitMs());
+    return request.route().rank() == 0 ? remainingMs : remainingMs / 2;
+  }
+
+  private void connectWithPermit(EndpointEntry endpoint, boolean newConnection, long maxDelayMs) {
+    gateway
+        .requestPermits()
+        .acquire(endpoint, maxDelayMs)
+        .onSuccess(
+            permit -> {
+              if (finished) {
+                return;
+              }
+              if (!permit.granted()) {
+                handlePermitDenied(endpoint, newConnection, maxDelayMs, permit.delayMs());
+              } else if (permit.delayMs() > 0) {
+                gateway
+                    .vertx()
+                    .setTimer(permit.delayMs(), fired -> connect(endpoint, newConnection));
+              } else {
+                connect(endpoint, newConnection);
+              }
+            });
+  }
+
+  private void handlePermitDenied(
+      EndpointEntry endpoint, boolean newConnection, long maxDelayMs, long delayMs) {
+    gateway
+        .log()
+        .line("permit_denied")
+        .put("request", request.metadata().requestId())
+        .put("endpoint", endpoint.id().value())
+        .put("next_ms", delayMs)
+        .put("accepted_ms", maxDelayMs)
+        .write();
+    if (newConnection) {
+      proceedAfterFailure(
+          endpoint, AttemptFailure.RATE_LIMITED, "no permit for " + delayMs + " ms");
+    } else if (maxDelayMs == 0 && remainingWaitMs() > 0) {
+      dispatch();
+    } else if (delayMs <= maxDelayMs) {
+      gateway.vertx().setTimer(PLACEMENT_RETRY_MS, fired -> dispatch());
+    } else {
+      refuseWithoutEndpoint(Math.max(RETRY_AFTER_MS, delayMs));
+    }
+  }
+
   // Probes all endpoints in parallel: connection attempts to unreachable endpoints one after the
   // other would only delay the client's response.
   private void dispatchIfReachable() {
@@ -358,7 +418,7 @@
       return;
     }
     if (isEligible(endpoint)) {
-      connect(endpoint, true);
+      connectWithPermit(endpoint, true, maxPermitDelayMs());
     } else {
       proceedAfterFailure(endpoint, AttemptFailure.LEAVING, "endpoint has left the service");
     }
@@ -369,6 +429,9 @@
   }
 
   private void connect(EndpointEntry endpoint, boolean newConnection) {
+    if (finished) {
+      return;
+    }
     history.beginAttempt(endpoint.id());
     // An endpoint that has refused this request may send the refusal twice. With a new connection,
     // the late copy cannot be read as the response to this attempt.
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
@@ -22,7 +22,7 @@
  * @param connections the pool of connections to endpoints
  * @param reachability tracks which endpoints accept connections
  * @param departures handles endpoints that announce their departure
- * @param requestLimits tracks the request limits of endpoints
+ * @param requestPermits obtains the permits for requests to endpoints with a request limit
  * @param watchdog detects endpoints and connections that send nothing
  * @param responseMemory limits the memory of incomplete responses
  * @param budgets the token budgets of programs
@@ -42,7 +42,7 @@
     EndpointConnectionPool connections,
     ReachabilityMonitor reachability,
     DepartureTracker departures,
-    RequestLimitTracker requestLimits,
+    RequestPermits requestPermits,
     Watchdog watchdog,
     ResponseMemoryLimiter responseMemory,
     TokenBudgets budgets,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
@@ -19,6 +19,10 @@
     metrics.increment("sends_failed", "result", result);
   }
 
+  void countPermit(boolean granted) {
+    metrics.increment("request_permits", "result", granted ? "granted" : "denied");
+  }
+
   void countStoreCall(String kind, String outcome) {
     metrics.increment("store_calls", "kind_outcome", kind + "/" + outcome);
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -5,6 +5,7 @@
 import io.magnoliaroute.core.gateway.EndpointSelector;
 import io.magnoliaroute.core.gateway.EngineReport;
 import io.magnoliaroute.core.gateway.PrefixCacheIndex;
+import io.magnoliaroute.core.gateway.RequestLimits;
 import io.magnoliaroute.core.gateway.ServiceTimeAverages;
 import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.core.settings.HostPort;
@@ -17,6 +18,7 @@
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
@@ -73,6 +75,9 @@
    */
   private static final long RELEASE_TIMEOUT_MS = 300;
 
+  private static final Future<Optional<EngineReport>> NO_REPORT =
+      Future.succeededFuture(Optional.empty());
+
   private final BootSettings settings;
   private final SettingsSource source;
   private final InstantSource clock;
@@ -80,6 +85,7 @@
   private final DecisionLog log;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final RoutingState routingState = new RoutingState();
+  private final RequestLimits requestLimits = new RequestLimits();
   private final StoreHealth storeHealth;
   private final StoreClient store;
   private final RoutingStateUpdater routingStateUpdater;
@@ -88,6 +94,7 @@
   private final PeerConnections peers;
   private final PeerMessageHandler peerMessageHandler;
   private final OutcomeSharing outcomeSharing;
+  private final RequestPermits requestPermits;
   private final AllowanceService allowances;
   private final GatewayContext gateway;
   private final ClientServer clientServer;
@@ -134,17 +141,7 @@
             settings.dataCentre());
     this.vmDirectory = new VmDirectory(self, store, clock, log);
     this.peers = new PeerConnections(vertx, clock, log, metrics);
-    String holder =
-        settings.vm().value() + AllowanceService.HOLDER_SEPARATOR + random.nextLong(Long.MAX_VALUE);
-    this.allowances =
-        new AllowanceService(
-            self,
-            vmDirectory,
-            peers,
-            number -> new AllowanceHolder(vertx, store, storeHealth, clock, log, holder, number),
-            settings.storePartitions(),
-            log,
-            metrics);
+    this.allowances = createAllowances(self);
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock, log);
     EndpointLoadTracker loads = new EndpointLoadTracker();
     EndpointConnectionPool connections =
@@ -153,6 +150,7 @@
     ReachabilityMonitor reachability =
         new ReachabilityMonitor(routingState, loads, connections, clock, log);
     DepartureTracker departures = new DepartureTracker(routingState, connections, log);
+    this.requestPermits = createPermits(self);
     this.outcomeSharing = new OutcomeSharing(self, vmDirectory, peers, loads, clock);
     this.peerMessageHandler =
         new PeerMessageHandler(
@@ -168,6 +166,7 @@
                 reachability,
                 departures,
                 outcomeSharing,
+                requestPermits,
                 clock::millis),
             random);
     crashQuarantine.setListener(peerMessageHandler::broadcastCrash);
@@ -177,6 +176,24 @@
     this.clientServer = new ClientServer(gateway);
   }
 
+  private AllowanceService createAllowances(VmEntry self) {
+    String holder =
+        settings.vm().value() + AllowanceService.HOLDER_SEPARATOR + random.nextLong(Long.MAX_VALUE);
+    return new AllowanceService(
+        self,
+        vmDirectory,
+        peers,
+        number -> new AllowanceHolder(vertx, store, storeHealth, clock, log, holder, number),
+        settings.storePartitions(),
+        log,
+        metrics);
+  }
+
+  private RequestPermits createPermits(VmEntry self) {
+    PermitIssuerSelector issuers = new PermitIssuerSelector(self, vmDirectory, peers, routingState);
+    return new RequestPermits(vertx, peers, issuers, requestLimits, clock, log, metrics);
+  }
+
   private GatewayContext createContext(
       EndpointLoadTracker loads,
       EndpointConnectionPool connections,
@@ -187,21 +204,14 @@
     ServiceTimeAverages serviceTimes = new ServiceTimeAverages();
     EndpointSelector endpointSelector =
         new EndpointSelector(
-            routingState.endpoints(), loads, prefixCache, serviceTimes, settings.dataCentre());
+            routingState.endpoints(),
+            loads,
+            prefixCache,
+            serviceTimes,
+            requestLimits,
+            settings.dataCentre());
     Watchdog watchdog = new Watchdog(clock, log);
-    EngineReportClient reportClient = new EngineReportClient(vertx, connections);
-    watchdog.setProber(
-        new Watchdog.Prober() {
-          @Override
-          public Future<Boolean> probe(EndpointEntry endpoint) {
-            return reachability.probe(endpoint);
-          }
-
-          @Override
-          public Future<EngineReport> fetchReport(EndpointEntry endpoint) {
-            return reportClient.fetch(endpoint, reachability.maxConnections(endpoint));
-          }
-        });
+    watchdog.setProber(createProber(connections, reachability));
     return new GatewayContext(
         vertx,
         clock,
@@ -214,7 +224,7 @@
         connections,
         reachability,
         departures,
-        new RequestLimitTracker(log),
+        requestPermits,
         watchdog,
         new ResponseMemoryLimiter(),
         allowances,
@@ -223,6 +233,30 @@
         metrics);
   }
 
+  private Watchdog.Prober createProber(
+      EndpointConnectionPool connections, ReachabilityMonitor reachability) {
+    EngineReportClient reportClient = new EngineReportClient(vertx, connections);
+    return new Watchdog.Prober() {
+      @Override
+      public Future<Boolean> probe(EndpointEntry endpoint) {
+        return reachability.probe(endpoint);
+      }
+
+      @Override
+      public Future<Optional<EngineReport>> fetchReport(EndpointEntry endpoint) {
+        return requestPermits
+            .acquire(endpoint, 0)
+            .compose(permit -> permit.granted() ? fetch(endpoint) : NO_REPORT);
+      }
+
+      private Future<Optional<EngineReport>> fetch(EndpointEntry endpoint) {
+        return reportClient
+            .fetch(endpoint, reachability.maxConnections(endpoint))
+            .map(Optional::of);
+      }
+    };
+  }
+
   /** Starts following the store and listening for clients and peers. */
   public Future<Void> start() {
     log.line("start")
@@ -410,6 +444,10 @@
     return allowances.loadedPartitions();
   }
 
+  int limitedEndpoints() {
+    return requestLimits.all().size();
+  }
+
   int usableEndpoints(String service) {
     return routingState.endpoints().usableEndpoints(service, clock.millis()).size();
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
@@ -254,6 +254,9 @@
     if (message instanceof PeerMessage.AllowanceReply reply) {
       return reply.request();
     }
+    if (message instanceof PeerMessage.PermitReply reply) {
+      return reply.request();
+    }
     return message instanceof PeerMessage.RoutingStateReply reply ? reply.request() : -1;
   }
 
@@ -264,6 +267,7 @@
             socket,
             message -> {
               if (message instanceof PeerMessage.AllowanceRequest
+                  || message instanceof PeerMessage.PermitRequest
                   || message instanceof PeerMessage.RoutingStateRequest) {
                 handler
                     .onRequest(message)
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -41,6 +41,7 @@
   private final ReachabilityMonitor reachability;
   private final DepartureTracker departures;
   private final OutcomeSharing outcomeSharing;
+  private final RequestPermits requestPermits;
   private final LongSupplier nowMs;
   private final RandomGenerator random;
   private boolean receivedPeerState;
@@ -58,6 +59,7 @@
       ReachabilityMonitor reachability,
       DepartureTracker departures,
       OutcomeSharing outcomeSharing,
+      RequestPermits requestPermits,
       LongSupplier nowMs) {}
 
   PeerMessageHandler(PeerConnections peers, Dependencies dependencies, RandomGenerator random) {
@@ -72,6 +74,7 @@
     this.reachability = dependencies.reachability();
     this.departures = dependencies.departures();
     this.outcomeSharing = dependencies.outcomeSharing();
+    this.requestPermits = dependencies.requestPermits();
     this.nowMs = dependencies.nowMs();
     this.random = random;
   }
@@ -151,6 +154,7 @@
       }
     }
     replies.forEach(reply -> reply.gone().forEach(this::recordDeparture));
+    replies.forEach(reply -> reply.requestLimits().forEach(requestPermits::applyNote));
     replies.forEach(this::applyReply);
     receivedPeerState |= !replies.isEmpty();
     completedRounds++;
@@ -183,6 +187,9 @@
                       allowances.localUsedTokens(allowanceRequest.program()),
                       allowances.localNewestSliceHolder(allowanceRequest.program()).orElse("")));
     }
+    if (request instanceof PeerMessage.PermitRequest permitRequest) {
+      return Future.succeededFuture(requestPermits.onRequest(permitRequest));
+    }
     PeerMessage.RoutingStateRequest stateRequest = (PeerMessage.RoutingStateRequest) request;
     return Future.succeededFuture(stateReply(stateRequest));
   }
@@ -204,6 +211,8 @@
       outcomeSharing.onSummary(summary);
     } else if (notification instanceof PeerMessage.EndpointDeparture departure) {
       recordDeparture(departure);
+    } else if (notification instanceof PeerMessage.RequestLimitNote limit) {
+      requestPermits.onNote(limit);
     } else if (notification instanceof PeerMessage.RequestCrashed crashed) {
       crashQuarantine.recordCrash(
           new Fingerprint(crashed.fingerprint()), new EndpointId(crashed.endpoint()));
@@ -257,6 +266,7 @@
         routingState.endpointsOffset(),
         endpoints,
         tombstones,
+        requestPermits.knownLimits(),
         vms);
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -214,7 +214,7 @@
       return;
     }
     if (!responseHead.isMisdirected()) {
-      gateway.requestLimits().onResponseHead(endpoint(), responseHead);
+      gateway.requestPermits().onResponseHead(endpoint(), responseHead, sentAtMs);
     }
     received.exceptionHandler(
         e -> {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmDirectory.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmDirectory.java
@@ -72,9 +72,15 @@
     }
   }
 
+  /** Returns whether this VM has removed its entry from the store because it is stopping. */
+  boolean isDeregistered() {
+    return deregistered;
+  }
+
   /** Removes this VM's entry from the store by writing a tombstone. */
   void deregister() {
     deregistered = true;
+    revision++;
     store.append(
         TOPIC,
         0,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -63,8 +64,11 @@
     /** Opens a connection and returns whether the endpoint accepted it. */
     Future<Boolean> probe(EndpointEntry endpoint);
 
-    /** Fetches a model engine's report of its running requests. */
-    Future<EngineReport> fetchReport(EndpointEntry endpoint);
+    /**
+     * Fetches a model engine's report of its running requests; empty if the engine's request limit
+     * does not allow it at present.
+     */
+    Future<Optional<EngineReport>> fetchReport(EndpointEntry endpoint);
   }
 
   Watchdog(InstantSource clock, DecisionLog log) {
@@ -171,7 +175,8 @@
               if (done.failed()) {
                 failSilent(attempt, "engine report failed: " + done.cause().getMessage());
               } else if (done.result()
-                  .mayBeHealthy(attempt.requestId(), attempt.eventsReceived())) {
+                  .map(each -> each.mayBeHealthy(attempt.requestId(), attempt.eventsReceived()))
+                  .orElse(true)) {
                 attempt.confirmActive();
               } else {
                 failSilent(attempt, "request is unknown to the engine or its events were lost");
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestLimitTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestLimitTest.java
@@ -3,8 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.magnoliaroute.daemon.support.KnownRed;
+import io.magnoliaroute.daemon.support.Await;
 import java.io.IOException;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
@@ -34,7 +35,6 @@
   }
 
   @Test
-  @KnownRed
   @DisplayName("together stay within the limit, and the other endpoints serve the rest")
   void limitHoldsForAllVmsTogether() {
     environment.joinSecondVm("dc");
@@ -49,4 +49,58 @@
         received <= MAX_REQUESTS_IN_4_S,
         received + " requests in 4 s, " + MAX_REQUESTS_IN_4_S + " allowed");
   }
+
+  @Test
+  @DisplayName("learn of the limit from the VM that got the response, and of its end")
+  void limitAndItsEndAreShared() {
+    environment.joinSecondVm("dc");
+    environment.firstEndpoint().setRequestLimit(Optional.of("1000"));
+    environment.secondEndpoint().setRequestLimit(Optional.of("1000"));
+    Await.until(
+        "the other VM knows both limits",
+        () -> sendToBothEndpoints() && environment.secondVm().limitedEndpoints() == 2);
+
+    environment.firstEndpoint().setRequestLimit(Optional.empty());
+    environment.secondEndpoint().setRequestLimit(Optional.empty());
+    Await.until(
+        "the other VM knows that both limits have ended",
+        () -> sendToBothEndpoints() && environment.secondVm().limitedEndpoints() == 0);
+  }
+
+  @Test
+  @DisplayName("ask their peers for the limits after a restart")
+  void limitIsKnownAfterRestart() {
+    environment.joinSecondVm("dc");
+    environment.firstEndpoint().setRequestLimit(Optional.of("1000"));
+    Await.until(
+        "the other VM knows the limit",
+        () -> sendToBothEndpoints() && environment.secondVm().limitedEndpoints() == 1);
+
+    environment.restartVmBesideSecond();
+
+    Await.until("the limit is known", () -> environment.vm().limitedEndpoints() == 1);
+  }
+
+  @Test
+  @DisplayName("refuse at once what no endpoint can take, and say when to come back")
+  void excessIsRefusedAtOnce() {
+    environment.firstEndpoint().setRequestLimit(Optional.of("0"));
+    environment.secondEndpoint().setRequestLimit(Optional.of("0"));
+    Await.until(
+        "both limits are known",
+        () -> sendToBothEndpoints() && environment.vm().limitedEndpoints() == 2);
+
+    environment.call("GET", "/safe/x", Map.of());
+    long beforeNs = System.nanoTime();
+    GatewayTestEnvironment.Response response = environment.call("GET", "/safe/x", Map.of());
+    long tookMs = (System.nanoTime() - beforeNs) / 1_000_000;
+
+    assertEquals(503, response.status());
+    assertTrue(Double.parseDouble(response.headers().get("Retry-After")) > 0.6, "Retry-After");
+    assertTrue(tookMs < 300, "refused after " + tookMs + " ms");
+  }
+
+  private boolean sendToBothEndpoints() {
+    return !environment.sendConcurrently(12, "GET", "/safe/x").contains(0);
+  }
 }
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
@@ -40,7 +40,10 @@
   ENDPOINT_LOST(48, PeerMessage.EndpointUnreachable.class),
   ENDPOINT_GONE(49, PeerMessage.EndpointDeparture.class),
   OUTCOMES_TOLD(50, PeerMessage.OutcomeReport.class),
-  OUTCOME_SUMMARY(51, PeerMessage.OutcomeSummary.class);
+  OUTCOME_SUMMARY(51, PeerMessage.OutcomeSummary.class),
+  PERMIT_REQUEST(52, PeerMessage.PermitRequest.class),
+  PERMIT_REPLY(53, PeerMessage.PermitReply.class),
+  REQUEST_LIMIT(54, PeerMessage.RequestLimitNote.class);
 
   private static final Map<Integer, MessageType> BY_NUMBER =
       Stream.of(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -227,6 +227,37 @@
    */
   record OutcomeEntry(String endpoint, double answered, double failed) {}
 
+  /**
+   * Requests a permit to send a request to an endpoint that limits its request rate.
+   *
+   * @param request the request number that matches the response; unique for the connection
+   * @param limit the limit as the sender knows it
+   * @param maxDelayMs the longest delay that the sender accepts
+   */
+  record PermitRequest(long request, RequestLimitNote limit, long maxDelayMs)
+      implements PeerMessage {}
+
+  /**
+   * Responds to {@link PermitRequest}.
+   *
+   * @param request the number of the request
+   * @param granted whether the request may be sent
+   * @param delayMs the delay after which it may be sent, or, if the permit was denied, after which
+   *     the next one would be available
+   */
+  record PermitReply(long request, boolean granted, long delayMs) implements PeerMessage {}
+
+  /**
+   * Notifies of the request rate that an endpoint accepts from all VMs together.
+   *
+   * @param endpoint the id of the endpoint
+   * @param startedAtMs Unix time of the endpoint's start that the limit applies to
+   * @param limited whether there is a limit; if not, an earlier one has ended
+   * @param requestsPerS the accepted requests per second; 0 if there is no limit
+   */
+  record RequestLimitNote(String endpoint, long startedAtMs, boolean limited, double requestsPerS)
+      implements PeerMessage {}
+
   /**
    * Requests the receiver's routing state: the configuration, the endpoints and the VMs.
    *
@@ -244,6 +275,7 @@
    *     endpoints' entries; negative if it has not listed them yet
    * @param endpoints all endpoints as of this offset
    * @param gone the tombstones of endpoints, so that older lists do not restore the endpoints
+   * @param requestLimits the request limits of endpoints; empty in replies of earlier releases
    * @param vms the VMs
    */
   record RoutingStateReply(
@@ -252,6 +284,7 @@
       long endpointsOffset,
       List<EndpointInfo> endpoints,
       List<EndpointDeparture> gone,
+      List<RequestLimitNote> requestLimits,
       List<VmInfo> vms)
       implements PeerMessage {
 
@@ -259,6 +292,7 @@
     public RoutingStateReply {
       endpoints = List.copyOf(endpoints);
       gone = List.copyOf(gone);
+      requestLimits = requestLimits == null ? List.of() : List.copyOf(requestLimits);
       vms = List.copyOf(vms);
     }
   }
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -57,6 +57,10 @@
         new PeerMessage.OutcomeReport(
             "vm-1", List.of(new PeerMessage.OutcomeEntry("e1", 1.5, 0.5))),
         new PeerMessage.OutcomeSummary(List.of(new PeerMessage.OutcomeEntry("e1", 1.5, 0.5))),
+        new PeerMessage.PermitRequest(
+            1, new PeerMessage.RequestLimitNote("e1", 5, true, 8.25), 200),
+        new PeerMessage.PermitReply(1, true, 20),
+        new PeerMessage.RequestLimitNote("e1", 5, false, 0),
         new PeerMessage.RoutingStateRequest(1, 7),
         new PeerMessage.RoutingStateReply(
             1,
@@ -64,6 +68,7 @@
             42L,
             List.of(new PeerMessage.EndpointInfo("e1", "s", "127.0.0.1", 7, "dc", 8, true, 1, 2)),
             List.of(new PeerMessage.EndpointDeparture("e2", 5, 7)),
+            List.of(new PeerMessage.RequestLimitNote("e1", 5, true, 8.25)),
             List.of(new PeerMessage.VmInfo("vm-1", "127.0.0.1", 7, "dc"))));
   }
 
