Log which software version serves a request and which stream it resumes

Streams held events of two software versions of a service. Two ways were possible: a VM continues a broken stream at any endpoint, or a client's later attempt goes to any endpoint. The logs could tell neither, since no VM read the version.

Routing does not change.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointDirectory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointDirectory.java
@@ -239,6 +239,7 @@
         || before.draining() != after.draining()
         || before.slots() != after.slots()
         || !before.service().equals(after.service())
+        || !before.softwareVersion().equals(after.softwareVersion())
         || !before.address().equals(after.address());
   }
 }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointEntry.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointEntry.java
@@ -14,6 +14,8 @@
  * @param draining whether the endpoint is draining
  * @param startedAtMs Unix time of the start; distinguishes two starts with the same id
  * @param sequence increases with each entry of one start
+ * @param softwareVersion the version of the endpoint's software; streams of two versions do not fit
+ *     together
  */
 public record EndpointEntry(
     EndpointId id,
@@ -23,7 +25,8 @@
     int slots,
     boolean draining,
     long startedAtMs,
-    long sequence) {
+    long sequence,
+    String softwareVersion) {
 
   /** Returns whether this entry was written after the other one. */
   public boolean isNewerThan(EndpointEntry other) {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestMetadata.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestMetadata.java
@@ -16,6 +16,7 @@
  * @param maxOutputTokens maximum number of tokens that this turn generates
  * @param prefix the leading segments of the prompt, in order
  * @param lastEventId id of the event after which the client resumes a stream
+ * @param resumedRequestId the id of the attempt that delivered the first event of a resumed stream
  */
 public record RequestMetadata(
     String requestId,
@@ -27,7 +28,8 @@
     long promptTokens,
     long maxOutputTokens,
     List<PromptSegment> prefix,
-    Optional<String> lastEventId) {
+    Optional<String> lastEventId,
+    Optional<String> resumedRequestId) {
 
   /** Makes a defensive copy of the prefix. */
   public RequestMetadata {
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointDirectoryTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointDirectoryTest.java
@@ -25,7 +25,7 @@
 
   private static EndpointEntry entry(boolean draining, long startedAtMs, long sequence) {
     return new EndpointEntry(
-        ID, "s", new HostPort("10.0.0.1", 80), "dc", 4, draining, startedAtMs, sequence);
+        ID, "s", new HostPort("10.0.0.1", 80), "dc", 4, draining, startedAtMs, sequence, "v1");
   }
 
   private boolean isOffered(long nowMs) {
@@ -190,7 +190,7 @@
 
     private EndpointEntry other() {
       return new EndpointEntry(
-          new EndpointId("e2"), "s", new HostPort("10.0.0.2", 80), "dc", 4, false, 1, 1);
+          new EndpointId("e2"), "s", new HostPort("10.0.0.2", 80), "dc", 4, false, 1, 1, "v1");
     }
   }
 }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -32,7 +32,15 @@
   private EndpointEntry add(String id, String dataCentre) {
     EndpointEntry entry =
         new EndpointEntry(
-            new EndpointId(id), "s", new HostPort("10.0.0.1", 80), dataCentre, SLOTS, false, 1, 1);
+            new EndpointId(id),
+            "s",
+            new HostPort("10.0.0.1", 80),
+            dataCentre,
+            SLOTS,
+            false,
+            1,
+            1,
+            "v1");
     directory.apply(entry);
     return entry;
   }
@@ -49,6 +57,7 @@
         0,
         0,
         List.of(prefix),
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/LargeFleetPlacementTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/LargeFleetPlacementTest.java
@@ -188,6 +188,7 @@
               SHARED_TOKENS,
               OUTPUT_TOKENS,
               prefix(),
+              Optional.empty(),
               Optional.empty());
       EndpointEntry chosen =
           vm.selector.select("llm", metadata, Set.of(), (long) nowMs).orElseThrow();
@@ -225,7 +226,8 @@
                   SLOTS,
                   false,
                   1,
-                  1)));
+                  1,
+                  "v1")));
     }
     for (int i = 0; i < VMS; i++) {
       Vm vm = new Vm(dataCentres[i % 3]);
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/RequestLimitsTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/RequestLimitsTest.java
@@ -20,7 +20,8 @@
   private final RequestLimits limits = new RequestLimits();
 
   private static EndpointEntry entry(long startedAtMs) {
-    return new EndpointEntry(ID, "s", new HostPort("10.0.0.1", 80), "dc", 4, false, startedAtMs, 1);
+    return new EndpointEntry(
+        ID, "s", new HostPort("10.0.0.1", 80), "dc", 4, false, startedAtMs, 1, "v1");
   }
 
   @Test
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
@@ -63,7 +63,8 @@
               SLOTS,
               false,
               1,
-              1);
+              1,
+              "v1");
     }
   }
 
@@ -131,6 +132,7 @@
               0,
               0,
               List.of(),
+              Optional.empty(),
               Optional.empty());
       EndpointEntry selected = vm.selector.select("s", request, Set.of(), nowMs).orElseThrow();
       Endpoint endpoint =
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -499,12 +499,14 @@
         .put("request", request.metadata().requestId())
         .put("endpoint", endpoint.id().value())
         .put("service", service)
+        .put("software_version", endpoint.softwareVersion())
         .put("busy", (long) gateway.loads().estimatedRequests(endpoint.id(), now()))
         .put("pace_percent", (long) (100 * gateway.loads().slowdown(endpoint.id(), now())))
         .put("entry_sequence", endpoint.sequence())
         .put("sends", history.attempts())
         .put("left_ms", leftMs)
-        .put("after_event", eventSplitter.lastId().orElse(""))
+        .put("after_event", eventSplitter.lastId().or(request.metadata()::lastEventId).orElse(""))
+        .put("resumed_request", request.metadata().resumedRequestId().orElse(""))
         .write();
     currentAttempt = new RequestAttempt(gateway, connection, this, request.metadata().requestId());
     currentAttempt.start(
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -243,7 +243,8 @@
               entry.slots(),
               entry.draining(),
               entry.startedAtMs(),
-              entry.sequence()));
+              entry.sequence(),
+              entry.softwareVersion()));
     }
     List<PeerMessage.VmInfo> vms = new ArrayList<>();
     for (VmEntry vm : vmDirectory.all()) {
@@ -289,7 +290,8 @@
               endpoint.slots(),
               endpoint.draining(),
               endpoint.startedAtMs(),
-              endpoint.sequence()));
+              endpoint.sequence(),
+              endpoint.softwareVersion()));
     }
     routingStateUpdater.applyPeerEndpoints(endpoints, reply.endpointsOffset());
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PeerViewTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PeerViewTest.java
@@ -26,7 +26,7 @@
 
   private static EndpointEntry entry(String id) {
     return new EndpointEntry(
-        new EndpointId(id), "s", new HostPort("10.0.0.1", 80), "dc", 4, false, 1, 1);
+        new EndpointId(id), "s", new HostPort("10.0.0.1", 80), "dc", 4, false, 1, 1, "v1");
   }
 
   private int usableEndpoints() {
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -307,7 +307,14 @@
       int slots,
       boolean draining,
       long startedAtMs,
-      long sequence) {}
+      long sequence,
+      String softwareVersion) {
+
+    /** Replaces the version that peers of earlier releases do not send by an empty one. */
+    public EndpointInfo {
+      softwareVersion = softwareVersion == null ? "" : softwareVersion;
+    }
+  }
 
   /** A VM and the address at which peers connect to it. */
   record VmInfo(String vm, String host, int port, String dataCentre) {}
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -66,7 +66,8 @@
             1,
             BYTES,
             42L,
-            List.of(new PeerMessage.EndpointInfo("e1", "s", "127.0.0.1", 7, "dc", 8, true, 1, 2)),
+            List.of(
+                new PeerMessage.EndpointInfo("e1", "s", "127.0.0.1", 7, "dc", 8, true, 1, 2, "v1")),
             List.of(new PeerMessage.EndpointDeparture("e2", 5, 7)),
             List.of(new PeerMessage.RequestLimitNote("e1", 5, true, 8.25)),
             List.of(new PeerMessage.VmInfo("vm-1", "127.0.0.1", 7, "dc"))));
