Add failing tests for streams of two software versions, listed as known red

Two endpoints of different versions are in service. On this code: a stream that its endpoint broke off goes on at the other version (both endpoints execute it); a client's attempt to resume a stream that the VM does not know runs (200, expected 503), also after a restart when the other version has just left. The fourth test resumes streams after all VMs were lost; it fails because nothing stores the versions of streams. A fifth test passes before and after: with a single version, an unknown stream is resumed.

--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -88,6 +88,10 @@
     return secondEndpoint;
   }
 
+  StandinEndpoint thirdEndpoint() {
+    return thirdEndpoint;
+  }
+
   List<String> executedRequests() {
     List<String> all = new ArrayList<>(firstEndpoint.executedRequestIds());
     all.addAll(secondEndpoint.executedRequestIds());
@@ -117,6 +121,20 @@
     Await.until("the third endpoint is usable", () -> usableEndpointsAtFirstVm() == 3);
   }
 
+  /** Replaces the second endpoint by a third one of another software version. */
+  void replaceSecondEndpoint(String softwareVersion) {
+    thirdEndpoint.setSoftwareVersion(softwareVersion);
+    startThirdEndpoint();
+    store.put("keyed.servers", "e2", "");
+    awaitUsableEndpoints(2);
+  }
+
+  /** Removes the first endpoint, and with it its software version. */
+  void removeFirstEndpoint() {
+    store.put("keyed.servers", "e1", "");
+    awaitUsableEndpoints(1);
+  }
+
   /** Starts a third endpoint; all three endpoints crash on the next request that they execute. */
   void startThirdAndCrashAllOnNextRequest() {
     startThirdEndpoint();
--- /dev/null
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/SoftwareVersionTest.java
@@ -0,0 +1,113 @@
+package io.magnoliaroute.daemon.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.magnoliaroute.daemon.support.Await;
+import io.magnoliaroute.daemon.support.KnownRed;
+import io.magnoliaroute.standin.users.StandinEndpoint;
+import io.magnoliaroute.standin.users.StandinEndpoint.Behaviour;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against streams that are joined from the events of two software versions. */
+@DisplayName("While endpoints of two software versions are in service, a VM")
+class SoftwareVersionTest {
+
+  private GatewayTestEnvironment environment;
+
+  @BeforeEach
+  void start() {
+    environment = new GatewayTestEnvironment();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    environment.close();
+  }
+
+  private GatewayTestEnvironment.Response resume(String requestId, String firstRequestId) {
+    return environment.call(
+        "POST",
+        "/stream/x",
+        Map.of("X-Request-Id", requestId, "Resumes", firstRequestId, "Last-Event-Id", "3"));
+  }
+
+  @Test
+  @KnownRed
+  @DisplayName("ends a broken stream if no endpoint of its version is left")
+  void brokenStreamDoesNotContinueAtOtherVersion() {
+    environment.replaceSecondEndpoint("v2");
+    environment.setNextBehaviour(Behaviour.CRASHES_MID_EVENT);
+    environment.thirdEndpoint().addBehaviour(Behaviour.CRASHES_MID_EVENT);
+
+    assertThrows(
+        AssertionError.class,
+        () -> environment.call("POST", "/stream/x", Map.of("X-Request-Id", "a")));
+    assertEquals(List.of("a"), environment.executedRequests());
+  }
+
+  @Test
+  @KnownRed
+  @DisplayName("refuses to resume a stream of which it does not know the version")
+  void unknownStreamIsNotResumed() {
+    environment.replaceSecondEndpoint("v2");
+
+    assertEquals(503, resume("b", "a").status());
+    assertEquals(List.of(), environment.executedRequests());
+  }
+
+  @Test
+  @KnownRed
+  @DisplayName("refuses to resume an unknown stream at the only version left, after a restart")
+  void unknownStreamIsNotResumedAtOnlyVersionLeft() {
+    environment.replaceSecondEndpoint("v2");
+    environment.removeFirstEndpoint();
+    environment.restartVm();
+    Await.until("the VM is ready", () -> environment.readyStatus() == 200);
+
+    assertEquals(503, resume("b", "a").status());
+    assertEquals(List.of(), environment.executedRequests());
+  }
+
+  @Test
+  @KnownRed
+  @DisplayName("resumes streams at the version that began them, after all VMs were lost")
+  void streamsContinueAtTheirVersionAfterLossOfAllVms() {
+    environment.replaceSecondEndpoint("v2");
+    for (int i = 0; i < 8; i++) {
+      environment.call("POST", "/stream/x", Map.of("X-Request-Id", "s" + i));
+    }
+    List<String> begunAtV1 = environment.firstEndpoint().executedRequestIds();
+    List<String> begunAtV2 = environment.thirdEndpoint().executedRequestIds();
+    Await.within(
+        2_000,
+        "the versions of all streams are stored",
+        () -> environment.store().recordCount("stream-versions", 0) >= 8);
+    environment.restartVm();
+    Await.until("the VM is ready", () -> environment.readyStatus() == 200);
+
+    assertResumedAt(environment.firstEndpoint(), begunAtV1);
+    assertResumedAt(environment.thirdEndpoint(), begunAtV2);
+  }
+
+  private void assertResumedAt(StandinEndpoint endpoint, List<String> firstRequestIds) {
+    for (String firstRequestId : firstRequestIds) {
+      String requestId = "resumes-" + firstRequestId;
+      assertEquals(200, resume(requestId, firstRequestId).status(), requestId);
+      List<String> executed = endpoint.executedRequestIds();
+      assertEquals(requestId, executed.get(executed.size() - 1));
+    }
+  }
+
+  @Test
+  @DisplayName("of a single version resumes a stream that it does not know")
+  void unknownStreamOfSingleVersionIsResumed() {
+    assertEquals(200, resume("b", "a").status());
+  }
+}
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -23,7 +23,8 @@
   private static final Set<Behaviour> SHUTTING_DOWN =
       EnumSet.of(Behaviour.LEAVES, Behaviour.LEAVES_MID_EVENT, Behaviour.REFUSES_AND_LEAVES);
   private static final Set<Behaviour> DISCONNECTING =
-      EnumSet.of(Behaviour.BREAKS_MID_EVENT, Behaviour.LEAVES_MID_EVENT);
+      EnumSet.of(
+          Behaviour.BREAKS_MID_EVENT, Behaviour.LEAVES_MID_EVENT, Behaviour.CRASHES_MID_EVENT);
 
   private static final int OK = 200;
   private static final int MISDIRECTED = 421;
@@ -41,6 +42,7 @@
   private int port;
   private int abortedRequests;
   private Optional<String> requestLimit = Optional.empty();
+  private String softwareVersion = "v1";
 
   /** How the endpoint handles a request. */
   public enum Behaviour {
@@ -54,6 +56,8 @@
     FULL,
     /** Closes the connection of a stream in the middle of an event. */
     BREAKS_MID_EVENT,
+    /** Crashes in the middle of an event of a stream. */
+    CRASHES_MID_EVENT,
     /** Responds with the id of another request. */
     FOREIGN_ID,
     /** Responds with success but without the signature of the endpoint. */
@@ -102,13 +106,18 @@
 
   /** Returns the entry with which the endpoint registers in the endpoint list, as JSON. */
   public String entry(String service, String state, long sequence) {
-    return entryAt(port, service, state, sequence);
+    return entryAt(port, service, state, sequence, softwareVersion);
   }
 
   /** Returns the entry of an endpoint that listens on a loopback port, as JSON. */
   public static String entryAt(int port, String service, String state, long sequence) {
-    return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"dc\",\"version\":\"v1\","
-            .formatted(service, port)
+    return entryAt(port, service, state, sequence, "v1");
+  }
+
+  private static String entryAt(
+      int port, String service, String state, long sequence, String softwareVersion) {
+    return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"dc\",\"version\":\"%s\","
+            .formatted(service, port, softwareVersion)
         + "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":%d,\"born\":1}"
             .formatted(state, sequence);
   }
@@ -126,6 +135,11 @@
     requestLimit = limit;
   }
 
+  /** Sets the software version that the endpoint registers with. */
+  public void setSoftwareVersion(String version) {
+    softwareVersion = version;
+  }
+
   /** Returns the ids of all requests that have started to run. */
   public synchronized List<String> executedRequestIds() {
     return List.copyOf(executedRequestIds);
@@ -187,7 +201,7 @@
       case FAILS -> response.setStatusCode(500).end("failed");
       default -> {
         if (request.path().contains("stream")) {
-          sendStream(request, DISCONNECTING.contains(behaviour));
+          sendStream(request, behaviour);
         } else {
           response.setStatusCode(OK).end("body of " + id);
         }
@@ -195,14 +209,14 @@
     }
   }
 
-  private void sendStream(HttpServerRequest request, boolean disconnects) {
+  private void sendStream(HttpServerRequest request, Behaviour behaviour) {
     String lastEventId = request.getHeader("Last-Event-Id");
     HttpServerResponse response = request.response();
     response.putHeader("Content-Type", "text/event-stream").setChunked(true);
-    sendEvents(request, lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1, disconnects);
+    sendEvents(request, lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1, behaviour);
   }
 
-  private void sendEvents(HttpServerRequest request, int number, boolean disconnects) {
+  private void sendEvents(HttpServerRequest request, int number, Behaviour behaviour) {
     HttpServerResponse response = request.response();
     if (response.closed()) {
       return;
@@ -211,11 +225,21 @@
       response.end();
       return;
     }
-    if (disconnects && number > EVENTS_PER_STREAM / 2) {
-      response.write("id: " + number + "\nda").onComplete(written -> request.connection().close());
+    if (DISCONNECTING.contains(behaviour) && number > EVENTS_PER_STREAM / 2) {
+      response
+          .write("id: " + number + "\nda")
+          .onComplete(written -> disconnect(request, behaviour));
       return;
     }
     response.write("id: " + number + "\ndata: token " + number + "\n\n");
-    vertx.setTimer(2, timer -> sendEvents(request, number + 1, disconnects));
+    vertx.setTimer(2, timer -> sendEvents(request, number + 1, behaviour));
+  }
+
+  private void disconnect(HttpServerRequest request, Behaviour behaviour) {
+    if (behaviour == Behaviour.CRASHES_MID_EVENT) {
+      crash();
+    } else {
+      request.connection().close();
+    }
   }
 }
