--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -23,15 +23,24 @@
   private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointLoadTracker loads = new EndpointLoadTracker();
   private final PrefixCacheIndex prefixes = new PrefixCacheIndex(16);
+  private final RequestLimits limits = new RequestLimits();
   private final EndpointSelector selector =
-      new EndpointSelector(directory, loads, prefixes, new ServiceTimeAverages(), "here");
+      new EndpointSelector(directory, loads, prefixes, new ServiceTimeAverages(), limits, "here");
   private final EndpointEntry first = add("e1", "here");
   private final EndpointEntry second = add("e2", "here");
 
   private EndpointEntry add(String id, String dataCentre) {
     EndpointEntry entry =
         new EndpointEntry(
-            new EndpointId(id), "s", new HostPort("10.0.0.1", 80), dataCentre, SLOTS, false, 1, 1);
+            new EndpointId(id),
+            "s",
+            new HostPort("10.0.0.1", 80),
+            dataCentre,
+            SLOTS,
+            false,
+            1,
+            1,
+            "v1");
     directory.apply(entry);
     return entry;
   }
@@ -48,6 +57,7 @@
         0,
         0,
         List.of(prefix),
+        Optional.empty(),
         Optional.empty());
   }
 
@@ -137,4 +147,24 @@
   void allFailed() {
     assertTrue(selector.select("s", request("r"), Set.of(first.id(), second.id()), 0).isEmpty());
   }
+
+  @Test
+  @DisplayName("passes over an endpoint whose request limit is used up")
+  void usedUpLimit() {
+    limits.apply(new RequestLimit(first.id(), 1, 5), 0);
+    limits.markExhausted(first, 100);
+
+    assertAllRoutedTo(second);
+  }
+
+  @Test
+  @DisplayName("selects no unreachable endpoint while another one only has no permit left")
+  void usedUpLimitBesideUnreachableEndpoint() {
+    loads.markUnreachable(second.id(), 0);
+    limits.apply(new RequestLimit(first.id(), 1, 5), 0);
+    limits.markExhausted(first, 100);
+
+    assertEquals(Optional.empty(), selector.select("s", request("r"), Set.of(), 0));
+    assertEquals(Optional.of(first), selector.selectByPermit("s", Set.of(), 0));
+  }
 }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/LargeFleetPlacementTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/LargeFleetPlacementTest.java
@@ -60,7 +60,8 @@
     private final EndpointSelector selector;
 
     private Vm(String dataCentre) {
-      selector = new EndpointSelector(directory, loads, prefixes, times, dataCentre);
+      selector =
+          new EndpointSelector(directory, loads, prefixes, times, new RequestLimits(), dataCentre);
     }
   }
 
@@ -187,6 +188,7 @@
               SHARED_TOKENS,
               OUTPUT_TOKENS,
               prefix(),
+              Optional.empty(),
               Optional.empty());
       EndpointEntry chosen =
           vm.selector.select("llm", metadata, Set.of(), (long) nowMs).orElseThrow();
@@ -224,7 +226,8 @@
                   SLOTS,
                   false,
                   1,
-                  1)));
+                  1,
+                  "v1")));
     }
     for (int i = 0; i < VMS; i++) {
       Vm vm = new Vm(dataCentres[i % 3]);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -213,6 +213,9 @@
       fail(AttemptFailure.BROKEN, "response belongs to another request");
       return;
     }
+    if (!responseHead.isMisdirected()) {
+      gateway.requestPermits().onResponseHead(endpoint(), responseHead, sentAtMs);
+    }
     received.exceptionHandler(
         e -> {
           responseFailed = true;
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -88,6 +88,10 @@
     return secondEndpoint;
   }
 
+  StandinEndpoint thirdEndpoint() {
+    return thirdEndpoint;
+  }
+
   List<String> executedRequests() {
     List<String> all = new ArrayList<>(firstEndpoint.executedRequestIds());
     all.addAll(secondEndpoint.executedRequestIds());
@@ -117,6 +121,20 @@
     Await.until("the third endpoint is usable", () -> usableEndpointsAtFirstVm() == 3);
   }
 
+  /** Replaces the second endpoint by a third one of another software version. */
+  void replaceSecondEndpoint(String softwareVersion) {
+    thirdEndpoint.setSoftwareVersion(softwareVersion);
+    startThirdEndpoint();
+    store.put("keyed.servers", "e2", "");
+    awaitUsableEndpoints(2);
+  }
+
+  /** Removes the first endpoint, and with it its software version. */
+  void removeFirstEndpoint() {
+    store.put("keyed.servers", "e1", "");
+    awaitUsableEndpoints(1);
+  }
+
   /** Starts a third endpoint; all three endpoints crash on the next request that they execute. */
   void startThirdAndCrashAllOnNextRequest() {
     startThirdEndpoint();
@@ -402,6 +420,27 @@
     return served;
   }
 
+  /**
+   * Sends requests at a constant rate, alternately to the VMs, and returns the status codes; 0 if a
+   * connection was closed.
+   */
+  List<Integer> sendAtRate(int requestsPerS, long durationMs, String path) {
+    List<Future<Integer>> sent = new ArrayList<>();
+    long intervalMs = 1_000 / requestsPerS;
+    for (int i = 0; i < durationMs / intervalMs; i++) {
+      GatewayNode target = i % 2 == 0 || secondVm == null ? vm : secondVm;
+      Map<String, String> headers =
+          Map.of("X-Request-Id", String.valueOf(++lastRequestId), "Host", "h");
+      sent.add(
+          vertx
+              .timer(Math.max(1, i * intervalMs), TimeUnit.MILLISECONDS)
+              .compose(due -> send(target.clientPort(), HttpMethod.GET, path, headers))
+              .map(Response::status)
+              .otherwise(0));
+    }
+    return Await.result(Future.join(sent).map(joined -> joined.<Integer>list()));
+  }
+
   /** Returns how often one VM considered the other one lost. */
   int countLostPeers() {
     return countLostPeers(vm) + countLostPeers(secondVm);
