--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -129,12 +129,32 @@
     awaitUsableEndpoints(2);
   }
 
-  /** Removes the first endpoint, and with it its software version. */
-  void removeFirstEndpoint() {
-    store.put("keyed.servers", "e1", "");
+  /** Removes one of two usable endpoints. */
+  void removeEndpoint(String id) {
+    store.put("keyed.servers", id, "");
     awaitUsableEndpoints(1);
   }
 
+  void restoreThirdEndpoint() {
+    store.put("keyed.servers", "e3", thirdEndpoint.entry("s", "ready", 2));
+    awaitUsableEndpoints(2);
+  }
+
+  /** Sends the second VM a request that resumes the stream of another one after three events. */
+  Response resumeAtSecondVm(String requestId, String resumedRequestId) {
+    Map<String, String> headers =
+        Map.of(
+            "Host",
+            "h",
+            "X-Request-Id",
+            requestId,
+            "Resumes",
+            resumedRequestId,
+            "Last-Event-Id",
+            "3");
+    return Await.result(send(secondVm.clientPort(), HttpMethod.POST, "/stream/x", headers));
+  }
+
   /** Starts a third endpoint; all three endpoints crash on the next request that they execute. */
   void startThirdAndCrashAllOnNextRequest() {
     startThirdEndpoint();
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/SoftwareVersionTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/SoftwareVersionTest.java
@@ -6,6 +6,7 @@
 import io.magnoliaroute.daemon.support.Await;
 import io.magnoliaroute.standin.users.StandinEndpoint;
 import io.magnoliaroute.standin.users.StandinEndpoint.Behaviour;
+import io.magnoliaroute.standin.users.StandinStore;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -63,7 +64,7 @@
   @DisplayName("refuses to resume an unknown stream at the only version left, after a restart")
   void unknownStreamIsNotResumedAtOnlyVersionLeft() {
     environment.replaceSecondEndpoint("v2");
-    environment.removeFirstEndpoint();
+    environment.removeEndpoint("e1");
     environment.restartVm();
     Await.until("the VM is ready", () -> environment.readyStatus() == 200);
 
@@ -105,4 +106,84 @@
   void unknownStreamOfSingleVersionIsResumed() {
     assertEquals(200, resume("b", "a").status());
   }
+
+  @Test
+  @DisplayName("resumes a stream that another VM began, after that VM was killed")
+  void streamOfKilledVmContinuesAtItsVersion() {
+    environment.joinSecondVm("dc");
+    environment.replaceSecondEndpoint("v2");
+    Await.until(
+        "the other VM has the same endpoints", () -> environment.usableEndpointsAtSecondVm() == 2);
+    environment.call("POST", "/stream/x", Map.of("X-Request-Id", "a"));
+    boolean begunAtFirst = !environment.firstEndpoint().executedRequestIds().isEmpty();
+    Await.within(
+        2_000,
+        "the version of the stream is stored",
+        () -> environment.store().recordCount("stream-versions", 0) >= 1);
+    environment.killVm();
+
+    assertEquals(200, environment.resumeAtSecondVm("b", "a").status());
+    StandinEndpoint expected =
+        begunAtFirst ? environment.firstEndpoint() : environment.thirdEndpoint();
+    assertEquals(List.of("a", "b"), expected.executedRequestIds());
+  }
+
+  @Test
+  @DisplayName("stores the versions of streams under way when a second version appears")
+  void streamsUnderWayAreStored() {
+    environment.call("POST", "/stream/x", Map.of("X-Request-Id", "a"));
+    assertEquals(0, environment.store().recordCount("stream-versions", 0));
+
+    environment.replaceSecondEndpoint("v2");
+
+    Await.within(
+        2_000,
+        "the version of the stream is stored",
+        () -> environment.store().recordCount("stream-versions", 0) == 1);
+  }
+
+  @Test
+  @DisplayName("refuses to resume a stream whose version has left")
+  void streamOfRemovedVersionIsNotResumed() {
+    environment.replaceSecondEndpoint("v2");
+    environment.removeEndpoint("e3");
+    environment.call("POST", "/stream/x", Map.of("X-Request-Id", "a"));
+    environment.restoreThirdEndpoint();
+    environment.removeEndpoint("e1");
+
+    assertEquals(503, resume("b", "a").status());
+    assertEquals(List.of("a"), environment.executedRequests());
+  }
+
+  @Test
+  @DisplayName("refuses at once to resume an unknown stream while the store is away")
+  void unknownStreamIsRefusedWithoutStore() {
+    environment.replaceSecondEndpoint("v2");
+    environment.store().setFault(StandinStore.Fault.SILENT);
+
+    Await.within(1_000, "the stream is refused", () -> resume("b", "a").status() == 503);
+    assertEquals(List.of(), environment.executedRequests());
+  }
+
+  @Test
+  @DisplayName("refuses to continue after an event if the request does not name its stream")
+  void unnamedStreamIsNotResumed() {
+    environment.replaceSecondEndpoint("v2");
+
+    GatewayTestEnvironment.Response response =
+        environment.call("POST", "/stream/x", Map.of("Last-Event-Id", "3"));
+
+    assertEquals(503, response.status());
+  }
+
+  @Test
+  @DisplayName("begins a new stream if the request names a stream but no event")
+  void streamWithoutEventBeginsAnew() {
+    environment.replaceSecondEndpoint("v2");
+
+    GatewayTestEnvironment.Response response =
+        environment.call("POST", "/stream/x", Map.of("Resumes", "a"));
+
+    assertEquals(200, response.status());
+  }
 }
