Count the delay of a permit as a cost when an endpoint is chosen

The delay of the next permit, as far as a VM knows it, is now a cost like a queue. The permit is asked for with the longest delay at which the endpoint is still the best choice; the denial of it updates the delay, and the choice is made again. The separate choice of an endpoint for waiting requests goes.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
@@ -2,7 +2,6 @@
 
 import io.magnoliaroute.core.model.EndpointId;
 import io.magnoliaroute.core.model.Hashing;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -75,19 +74,29 @@
     this.dataCentre = dataCentre;
   }
 
+  /**
+   * A selected endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param permitDelayMs the delay, as far as this VM knows, until the endpoint's request limit
+   *     allows the request
+   * @param maxPermitDelayMs the delay beyond which another endpoint would be better
+   */
+  public record Selection(EndpointEntry endpoint, long permitDelayMs, long maxPermitDelayMs) {}
+
   /**
    * Selects the endpoint for a request.
    *
    * @param service the service that the request goes to
    * @param metadata the metadata that the client sent with the request
    * @param avoided endpoints that failed this request
-   * @return the endpoint, or empty if every usable endpoint of the service is in {@code avoided} or
-   *     has no permit available
+   * @return the endpoint, or empty if every usable endpoint of the service is in {@code avoided}
    */
   public Optional<EndpointEntry> select(
       String service, RequestMetadata metadata, Set<EndpointId> avoided, long nowMs) {
     return select(
-        service, metadata, endpoint -> !avoided.contains(endpoint.id()), any -> true, nowMs);
+            service, metadata, endpoint -> !avoided.contains(endpoint.id()), any -> true, nowMs)
+        .map(Selection::endpoint);
   }
 
   /**
@@ -97,64 +106,47 @@
    * @param metadata the metadata that the client sent with the request
    * @param eligible whether the request may be sent to an endpoint
    * @param preferred whether an eligible endpoint is preferred to the ones that are not
-   * @return the endpoint, or empty if every eligible one has no permit available
+   * @return the selection, or empty if no usable endpoint of the service is eligible
    */
-  public Optional<EndpointEntry> select(
+  public Optional<Selection> select(
       String service,
       RequestMetadata metadata,
       Predicate<EndpointEntry> eligible,
       Predicate<EndpointEntry> preferred,
       long nowMs) {
-    List<EndpointEntry> candidates = new ArrayList<>();
-    List<EndpointEntry> reachable = new ArrayList<>();
-    for (EndpointEntry endpoint : directory.usableEndpoints(service, nowMs)) {
-      if (eligible.test(endpoint) && !requestLimits.isExhausted(endpoint, nowMs)) {
-        candidates.add(endpoint);
-        if (!loads.isUnreachable(endpoint.id())) {
-          reachable.add(endpoint);
-        }
-      }
-    }
-    if (reachable.isEmpty()) {
-      return selectByPermit(service, eligible, nowMs).isPresent()
-          ? Optional.empty()
-          : cheapest(candidates, service, metadata, nowMs);
-    }
-    List<EndpointEntry> best = reachable.stream().filter(preferred).toList();
-    return cheapest(best.isEmpty() ? reachable : best, service, metadata, nowMs);
+    List<EndpointEntry> usable =
+        directory.usableEndpoints(service, nowMs).stream().filter(eligible).toList();
+    List<EndpointEntry> reachable =
+        usable.stream().filter(endpoint -> !loads.isUnreachable(endpoint.id())).toList();
+    List<EndpointEntry> candidates = reachable.isEmpty() ? usable : reachable;
+    List<EndpointEntry> best = candidates.stream().filter(preferred).toList();
+    return cheapest(best.isEmpty() ? candidates : best, service, metadata, nowMs);
   }
 
-  /**
-   * Selects, for a request that found no endpoint without a delay, the reachable endpoint whose
-   * request limit allows the next request first.
-   */
-  public Optional<EndpointEntry> selectByPermit(
-      String service, Predicate<EndpointEntry> eligible, long nowMs) {
-    EndpointEntry best = null;
-    for (EndpointEntry endpoint : directory.usableEndpoints(service, nowMs)) {
-      if (requestLimits.isExhausted(endpoint, nowMs)
-          && eligible.test(endpoint)
-          && !loads.isUnreachable(endpoint.id())
-          && (best == null
-              || requestLimits.exhaustedUntilMs(endpoint) < requestLimits.exhaustedUntilMs(best))) {
-        best = endpoint;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private Optional<EndpointEntry> cheapest(
+  private Optional<Selection> cheapest(
       List<EndpointEntry> endpoints, String service, RequestMetadata metadata, long nowMs) {
     EndpointEntry best = null;
     double bestMs = Double.MAX_VALUE;
+    double secondMs = Double.MAX_VALUE;
     for (EndpointEntry endpoint : endpoints) {
-      double costMs = costMs(endpoint, service, metadata, nowMs);
+      double costMs = costMs(endpoint, service, metadata, nowMs) + permitDelayMs(endpoint, nowMs);
       if (costMs < bestMs) {
+        secondMs = bestMs;
         bestMs = costMs;
         best = endpoint;
+      } else if (costMs < secondMs) {
+        secondMs = costMs;
       }
     }
-    return Optional.ofNullable(best);
+    if (best == null) {
+      return Optional.empty();
+    }
+    long delayMs = permitDelayMs(best, nowMs);
+    return Optional.of(new Selection(best, delayMs, delayMs + (long) (secondMs - bestMs)));
+  }
+
+  private long permitDelayMs(EndpointEntry endpoint, long nowMs) {
+    return Math.max(0, requestLimits.exhaustedUntilMs(endpoint) - nowMs);
   }
 
   private double costMs(
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestLimits.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestLimits.java
@@ -16,6 +16,8 @@
   /** Maximum number of limits; several times the number of endpoints of a large fleet. */
   private static final int MAX_LIMITS = 65_536;
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final Map<EndpointId, KnownLimit> limits =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -29,7 +31,7 @@
   private static final class KnownLimit {
     private final RequestLimit limit;
     private final long sinceMs;
-    private long exhaustedUntilMs = Long.MIN_VALUE;
+    private long exhaustedUntilMs = NEVER;
 
     private KnownLimit(RequestLimit limit, long sinceMs) {
       this.limit = limit;
@@ -51,7 +53,7 @@
     }
     boolean sameStart = known != null && known.limit.startedAtMs() == limit.startedAtMs();
     KnownLimit updated = new KnownLimit(limit, sameStart ? known.sinceMs : nowMs);
-    updated.exhaustedUntilMs = sameStart ? known.exhaustedUntilMs : Long.MIN_VALUE;
+    updated.exhaustedUntilMs = sameStart ? known.exhaustedUntilMs : NEVER;
     limits.put(limit.endpoint(), updated);
     return true;
   }
@@ -103,13 +105,8 @@
     }
   }
 
-  /** Returns whether the endpoint has a limit for which no permit is available now. */
-  public boolean isExhausted(EndpointEntry entry, long nowMs) {
-    return find(entry).isPresent() && limits.get(entry.id()).exhaustedUntilMs > nowMs;
-  }
-
   /** Returns until when no permit is available for the endpoint; a time in the past if one may. */
   public long exhaustedUntilMs(EndpointEntry entry) {
-    return find(entry).isPresent() ? limits.get(entry.id()).exhaustedUntilMs : Long.MIN_VALUE;
+    return find(entry).isPresent() ? limits.get(entry.id()).exhaustedUntilMs : NEVER;
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -3,6 +3,7 @@
 import io.magnoliaroute.core.gateway.AttemptFailure;
 import io.magnoliaroute.core.gateway.AttemptHistory;
 import io.magnoliaroute.core.gateway.EndpointEntry;
+import io.magnoliaroute.core.gateway.EndpointSelector;
 import io.magnoliaroute.core.gateway.RequestMetadata;
 import io.magnoliaroute.core.gateway.RetryAction;
 import io.magnoliaroute.core.gateway.Route;
@@ -335,18 +336,9 @@
     if (finished) {
       return;
     }
-    Optional<EndpointEntry> selected = placement.select();
-    if (selected.isPresent() && gateway.loads().isUnreachable(selected.get().id())) {
-      dispatchIfReachable();
-      return;
-    }
+    Optional<EndpointSelector.Selection> selected = placement.select();
     if (selected.isPresent()) {
-      connectWithPermit(selected.get(), false, 0);
-      return;
-    }
-    Optional<EndpointEntry> limited = placement.selectByPermit();
-    if (limited.isPresent()) {
-      connectWithPermit(limited.get(), false, maxPermitDelayMs());
+      dispatchTo(selected.get());
       return;
     }
     history.avoidedEndpoints().clear();
@@ -357,6 +349,18 @@
     gateway.vertx().setTimer(PLACEMENT_RETRY_MS, fired -> dispatch());
   }
 
+  private void dispatchTo(EndpointSelector.Selection selection) {
+    EndpointEntry endpoint = selection.endpoint();
+    if (gateway.loads().isUnreachable(endpoint.id())) {
+      dispatchIfReachable();
+    } else if (selection.permitDelayMs() > maxPermitDelayMs()) {
+      refuseWithoutEndpoint(Math.max(RETRY_AFTER_MS, selection.permitDelayMs()));
+    } else {
+      long maxDelayMs = Math.min(selection.maxPermitDelayMs(), maxPermitDelayMs());
+      connectWithPermit(endpoint, false, maxDelayMs);
+    }
+  }
+
   private long remainingWaitMs() {
     long maxWaitMs = (deadlineMs - request.arrivedMs()) / ENDPOINT_WAIT_DIVISOR;
     return maxWaitMs - (now() - request.arrivedMs());
@@ -396,12 +400,8 @@
     if (newConnection) {
       proceedAfterFailure(
           endpoint, AttemptFailure.RATE_LIMITED, "no permit for " + delayMs + " ms");
-    } else if (maxDelayMs == 0 && remainingWaitMs() > 0) {
-      dispatch();
-    } else if (delayMs <= maxDelayMs) {
-      gateway.vertx().setTimer(PLACEMENT_RETRY_MS, fired -> dispatch());
     } else {
-      refuseWithoutEndpoint(Math.max(RETRY_AFTER_MS, delayMs));
+      dispatch();
     }
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Placement.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Placement.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.gateway.AttemptHistory;
 import io.magnoliaroute.core.gateway.EndpointEntry;
+import io.magnoliaroute.core.gateway.EndpointSelector;
 import io.magnoliaroute.core.gateway.RequestMetadata;
 import io.vertx.core.Future;
 import java.util.Optional;
@@ -34,20 +35,13 @@
     this.history = history;
   }
 
-  /** Selects the endpoint for an attempt that starts now. */
-  Optional<EndpointEntry> select() {
+  /** Selects the endpoint for the next attempt. */
+  Optional<EndpointSelector.Selection> select() {
     return gateway
         .endpointSelector()
         .select(service, metadata, this::isEligible, this::isPreferred, gateway.clock().millis());
   }
 
-  /** Selects the endpoint whose request limit allows another request first. */
-  Optional<EndpointEntry> selectByPermit() {
-    return gateway
-        .endpointSelector()
-        .selectByPermit(service, this::isEligible, gateway.clock().millis());
-  }
-
   /** Probes whether any endpoint that may serve the request accepts connections. */
   Future<Boolean> anyReachable() {
     return gateway.reachability().anyReachable(service, stream::allows);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestPermits.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestPermits.java
@@ -29,6 +29,9 @@
   /** How long a request waits for a permit before it turns to another endpoint. */
   private static final long REPLY_WAIT_MS = 60;
 
+  /** Pause before a VM asks again after a denial. */
+  private static final long MIN_DELAY_MS = 5;
+
   private static final Permit NO_REPLY = new Permit(false, REPLY_WAIT_MS);
 
   private final Vertx vertx;
@@ -95,7 +98,7 @@
 
   private void recordDecision(EndpointEntry endpoint, Permit permit) {
     if (!permit.granted() || permit.delayMs() > 0) {
-      limits.markExhausted(endpoint, clock.millis() + permit.delayMs());
+      limits.markExhausted(endpoint, clock.millis() + Math.max(MIN_DELAY_MS, permit.delayMs()));
     }
     metrics.countPermit(permit.granted());
   }
