Let a request wait for a permit of the only endpoint it can go to

Found by reading: if a service had one candidate whose permits were used up, the longest accepted delay overflowed to a negative number, so the permit was denied and asked for again without end. The advantage over other endpoints is now bounded.

EndpointSelectorTest.usedUpLimitBesideUnreachableEndpoint failed without the change. RequestLimitTest.requestsWaitForPermits was added: 12 requests a second at one endpoint with a limit of 10 are all served (not run without the change).

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
@@ -51,6 +51,9 @@
    */
   static final double MAX_SPREAD_MS = 6;
 
+  /** Advantage of an endpoint that is the only candidate; longer than any request waits. */
+  private static final double MAX_ADVANTAGE_MS = 3_600_000;
+
   private final EndpointDirectory directory;
   private final EndpointLoadTracker loads;
   private final PrefixCacheIndex prefixCache;
@@ -142,7 +145,8 @@
       return Optional.empty();
     }
     long delayMs = permitDelayMs(best, nowMs);
-    return Optional.of(new Selection(best, delayMs, delayMs + (long) (secondMs - bestMs)));
+    long advantageMs = (long) Math.min(MAX_ADVANTAGE_MS, secondMs - bestMs);
+    return Optional.of(new Selection(best, delayMs, delayMs + advantageMs));
   }
 
   private long permitDelayMs(EndpointEntry endpoint, long nowMs) {
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -188,5 +188,8 @@
     limits.markExhausted(first, 100);
 
     assertAllRoutedTo(first);
+    EndpointSelector.Selection only =
+        selector.select("s", request("r"), any -> true, any -> true, 0).orElseThrow();
+    assertTrue(only.maxPermitDelayMs() > 10_000, only.toString());
   }
 }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestLimitTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestLimitTest.java
@@ -101,6 +101,16 @@
         });
   }
 
+  @Test
+  @DisplayName("let requests wait for a permit if no other endpoint is left")
+  void requestsWaitForPermits() {
+    environment.removeEndpoint("e2");
+    environment.firstEndpoint().setRequestLimit(Optional.of("10"));
+    environment.call("GET", "/safe/x", Map.of());
+
+    assertEquals(Set.of(200), Set.copyOf(environment.sendAtRate(12, 2_000, "/safe/x")));
+  }
+
   private boolean sendToBothEndpoints() {
     return !environment.sendConcurrently(12, "GET", "/safe/x").contains(0);
   }
