--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RegistrationGraceTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RegistrationGraceTest.java
@@ -37,7 +37,7 @@
 
   private static StoreRecord ready(String id, long offset) {
     String entry =
-        "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"dc\",\"slots\":4,"
+        "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"dc\",\"version\":\"v1\",\"slots\":4,"
             + "\"state\":\"ready\",\"born\":1,\"seq\":1}";
     return new StoreRecord(
         id, Optional.of(Bytes.copyOf(entry.getBytes(StandardCharsets.UTF_8))), offset);
