Recognize the crash of an endpoint that still accepts a reconnect

Traced: the stand-in closes the connection, goes on accepting others for 5 ms and stops then, and a VM reconnects after 20 ms. On a busy machine the 5 ms come after the 20 ms, and the stand-in then executed the request although it was crashing.

The stand-in executed requests after its crash had begun; it ignores them now. And the VM: an endpoint that accepts the reconnect and breaks it too was taken for a running one, so its crash was not counted, the request was never quarantined, and it ended with 502 after one endpoint. Class: a fixed delay stands for an event of another process.

Change: after the second break in a row of a request that may be repeated, the VM probes the endpoint before it goes on. If it accepts no connection, the attempt has failed as unreachable and the crash is reported. Running endpoints cost one delay and one connection more after two breaks.

Test: slowCrashesAreRecognized, stand-ins that accept for 60 ms; on the code before "expected: <3> but was: <1>", now passes.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
@@ -243,7 +243,7 @@
       exchange =
           new Exchange(
               gateway,
-              new Exchange.Request(
+              new ClientRequest(
                   route,
                   metadata,
                   request.method(),
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -4,9 +4,7 @@
 import io.magnoliaroute.core.gateway.AttemptHistory;
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EndpointSelector;
-import io.magnoliaroute.core.gateway.RequestMetadata;
 import io.magnoliaroute.core.gateway.RetryAction;
-import io.magnoliaroute.core.gateway.Route;
 import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.model.Hashing;
 import io.magnoliaroute.core.retry.Fingerprint;
@@ -14,7 +12,6 @@
 import io.magnoliaroute.platform.ResponseHead;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
 import java.util.Optional;
 
 /**
@@ -60,7 +57,7 @@
   private static final long UNREACHABLE_RETRY_AFTER_MS = 500;
 
   private final GatewayContext gateway;
-  private final Request request;
+  private final ClientRequest request;
   private final ClientResponse response;
   private final AttemptHistory history;
   private final TurnReservation reservation;
@@ -82,27 +79,8 @@
   private boolean clientDisconnected;
   private boolean finished;
 
-  /**
-   * A client request that has been received completely.
-   *
-   * @param route the route that the request matched
-   * @param metadata the metadata from the request headers
-   * @param method the HTTP method
-   * @param uri the path and query, as received
-   * @param headers the headers, as received
-   * @param body the complete body
-   * @param arrivedMs the time at which the request head arrived
-   */
-  record Request(
-      Route route,
-      RequestMetadata metadata,
-      HttpMethod method,
-      String uri,
-      MultiMap headers,
-      Buffer body,
-      long arrivedMs) {}
-
-  Exchange(GatewayContext gateway, Request request, ClientResponse response, Runnable onFinished) {
+  Exchange(
+      GatewayContext gateway, ClientRequest request, ClientResponse response, Runnable onFinished) {
     this.gateway = gateway;
     this.request = request;
     this.response = response;
@@ -266,6 +244,8 @@
   public void onFailed(RequestAttempt attempt, AttemptFailure failure, String cause) {
     currentAttempt = null;
     EndpointEntry endpoint = attempt.endpoint();
+    boolean brokeAgain =
+        failure == AttemptFailure.BROKEN && isRetryable() && endpoint.equals(lastBrokenEndpoint);
     gateway.metrics().countFailedAttempt(failure.name());
     if (failure == AttemptFailure.REFUSED_FULL) {
       gateway.loads().markFull(endpoint.id(), now() + PLACEMENT_RETRY_MS);
@@ -283,7 +263,29 @@
     eventSplitter.prepareResume();
     bufferedBody = Buffer.buffer();
     tryResizeBuffer(0);
-    proceedAfterFailure(endpoint, failure, cause);
+    if (brokeAgain) {
+      gateway.vertx().setTimer(RECONNECT_DELAY_MS, fired -> checkForCrash(endpoint, cause));
+    } else {
+      proceedAfterFailure(endpoint, failure, cause);
+    }
+  }
+
+  // A process that takes long to crash still accepts the reconnect and breaks it as well.
+  private void checkForCrash(EndpointEntry endpoint, String cause) {
+    if (finished) {
+      return;
+    }
+    gateway
+        .reachability()
+        .probe(endpoint)
+        .onSuccess(
+            accepted -> {
+              if (!accepted) {
+                reportCrash(endpoint);
+              }
+              proceedAfterFailure(
+                  endpoint, accepted ? AttemptFailure.BROKEN : AttemptFailure.UNREACHABLE, cause);
+            });
   }
 
   private void proceedAfterFailure(EndpointEntry endpoint, AttemptFailure failure, String cause) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTest.java
@@ -514,8 +514,18 @@
     @Test
     @DisplayName("refuses that request without sending it to an endpoint, and serves others")
     void refuses() {
+      quarantinesRequest(Behaviour.CRASHES);
+    }
+
+    @Test
+    @DisplayName("refuses it also if the crashed endpoints still accepted a reconnect")
+    void slowCrashesAreRecognized() {
+      quarantinesRequest(Behaviour.CRASHES_SLOWLY);
+    }
+
+    private void quarantinesRequest(Behaviour crash) {
       environment.joinSecondVm("dc2");
-      environment.startThirdAndCrashAllOnNextRequest();
+      environment.startThirdAndCrashAllOnNextRequest(crash);
       environment.call("GET", "/safe/poison", Map.of());
       assertEquals(3, environment.executedRequests().size());
       environment.restartFirstEndpoint();
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -156,10 +156,10 @@
   }
 
   /** Starts a third endpoint; all three endpoints crash on the next request that they execute. */
-  void startThirdAndCrashAllOnNextRequest() {
+  void startThirdAndCrashAllOnNextRequest(StandinEndpoint.Behaviour crash) {
     startThirdEndpoint();
     for (StandinEndpoint each : List.of(firstEndpoint, secondEndpoint, thirdEndpoint)) {
-      each.addBehaviour(StandinEndpoint.Behaviour.CRASHES);
+      each.addBehaviour(crash);
     }
   }
 
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -33,6 +33,9 @@
   /** Time for which a crashing process accepts connections after it has closed the first one. */
   private static final long CRASH_DELAY_MS = 5;
 
+  /** The same for a slow crash; longer than a VM waits before it reconnects. */
+  private static final long SLOW_CRASH_DELAY_MS = 60;
+
   private final Vertx vertx;
   private final String id;
   private final Deque<Behaviour> nextBehaviours = new ArrayDeque<>();
@@ -41,6 +44,7 @@
   private HttpServer server;
   private int port;
   private int abortedRequests;
+  private boolean crashing;
   private Optional<String> requestLimit = Optional.empty();
   private String softwareVersion = "v1";
 
@@ -52,6 +56,8 @@
     ANSWER_LOST,
     /** Runs the request, closes all connections and stops listening. */
     CRASHES,
+    /** As {@link #CRASHES}, but accepts connections for a while, and serves nothing on them. */
+    CRASHES_SLOWLY,
     /** Refuses the request and reports that it has not run. */
     FULL,
     /** Closes the connection of a stream in the middle of an event. */
@@ -91,6 +97,7 @@
   }
 
   private Future<Void> listen(int requestedPort) {
+    setCrashing(false);
     server = vertx.createHttpServer(new HttpServerOptions());
     return server
         .requestHandler(this::handle)
@@ -155,11 +162,18 @@
     return abortedRequests;
   }
 
+  private synchronized void setCrashing(boolean crashes) {
+    crashing = crashes;
+  }
+
   private void handle(HttpServerRequest request) {
     request.body().onSuccess(body -> respond(request));
   }
 
   private synchronized void respond(HttpServerRequest request) {
+    if (crashing) {
+      return;
+    }
     receivedDeadlines.add(request.getHeader("X-Deadline-Ms"));
     HttpServerResponse response = request.response();
     if (!id.equals(request.getHeader("X-Target-Instance"))) {
@@ -185,10 +199,8 @@
     response.putHeader("X-Server-Load", "1,0,8,100");
     switch (behaviour) {
       case ANSWER_LOST -> request.connection().close();
-      case CRASHES -> {
-        request.connection().close();
-        vertx.setTimer(CRASH_DELAY_MS, timer -> crash());
-      }
+      case CRASHES -> crashAfter(CRASH_DELAY_MS, request);
+      case CRASHES_SLOWLY -> crashAfter(SLOW_CRASH_DELAY_MS, request);
       case HANGS ->
           request
               .connection()
@@ -209,6 +221,12 @@
     }
   }
 
+  private void crashAfter(long delayMs, HttpServerRequest request) {
+    setCrashing(true);
+    request.connection().close();
+    vertx.setTimer(delayMs, timer -> crash());
+  }
+
   private void sendStream(HttpServerRequest request, Behaviour behaviour) {
     String lastEventId = request.getHeader("Last-Event-Id");
     HttpServerResponse response = request.response();
