Estimate the duration of a turn from its maximum output length

A permit is worth most for the longest turns, since these relieve the other engines most. Change: the expected duration of a request is the service's average in proportion to the maximum length of its output, so that long turns wait for permits and short ones go to the engines with a queue.

Excluded: that the long turns' lengths are unknown to a VM (each turn names them, but as an upper bound; how close it is was not measured).

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -227,7 +227,10 @@
     gateway
         .loads()
         .recordOutcome(attempt.endpoint().id(), responseHead.status() < SERVER_FAILURE, now());
-    gateway.serviceTimes().recordDuration(service, now() - attempt.sentAtMs());
+    gateway
+        .serviceTimes()
+        .recordCompletion(
+            service, now() - attempt.sentAtMs(), request.metadata().maxOutputTokens());
     gateway.prefixCache().recordProcessed(request.metadata().prefix(), attempt.endpoint());
     if (!response.isStarted()) {
       response.writeComplete(responseHead, responseHeaders, bufferedBody);
