--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
@@ -158,12 +158,10 @@
     double slots = Math.max(1, endpoint.slots());
     double requests = loads.estimatedRequests(endpoint.id(), nowMs);
     double slowdown = loads.slowdown(endpoint.id(), nowMs);
-    double workMs = serviceTimes.expectedMs(service, metadata.maxOutputTokens());
+    double workMs = serviceTimes.meanMs(service);
     double utilization = Math.min(1.0, requests / slots);
     double queueLength = Math.max(0.0, requests + 1 - slots);
     double costMs = workMs * slowdown * (1 + FULL_ENGINE_SLOWDOWN * utilization);
-    // In proportion to the request's own length, for the delay of the requests behind it: where
-    // engines with free slots are short of permits, the longest requests wait for these.
     costMs += queueLength * workMs * slowdown / slots;
     double prefillMs =
         prefixCache.uncachedTokens(metadata.prefix(), endpoint) / PREFILL_TOKENS_PER_MS * slowdown;
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -27,10 +27,9 @@
   private final EndpointDirectory directory = new EndpointDirectory();
   private final EndpointLoadTracker loads = new EndpointLoadTracker();
   private final PrefixCacheIndex prefixes = new PrefixCacheIndex(16);
-  private final ServiceTimeAverages times = new ServiceTimeAverages();
   private final RequestLimits limits = new RequestLimits();
   private final EndpointSelector selector =
-      new EndpointSelector(directory, loads, prefixes, times, limits, "here");
+      new EndpointSelector(directory, loads, prefixes, new ServiceTimeAverages(), limits, "here");
   private final EndpointEntry first = add("e1", "here");
   private final EndpointEntry second = add("e2", "here");
 
@@ -52,11 +51,6 @@
 
   private static RequestMetadata request(
       String requestId, RequestMetadata.PromptSegment... prefix) {
-    return turn(requestId, 0, prefix);
-  }
-
-  private static RequestMetadata turn(
-      String requestId, long maxOutputTokens, RequestMetadata.PromptSegment... prefix) {
     return new RequestMetadata(
         requestId,
         Optional.empty(),
@@ -65,7 +59,7 @@
         Optional.empty(),
         Optional.empty(),
         0,
-        maxOutputTokens,
+        0,
         List.of(prefix),
         Optional.empty(),
         Optional.empty());
@@ -186,19 +180,6 @@
     assertAllRoutedTo(second, PREFIX_SEGMENT);
   }
 
-  @Test
-  @DisplayName(
-      "lets long turns wait for a permit and sends short ones to the endpoint with a queue")
-  void permitsGoToLongTurns() {
-    times.recordCompletion("s", 400, 200);
-    limits.apply(new RequestLimit(first.id(), 1, 5), 0);
-    limits.markExhausted(first, 200);
-    loads.recordReport(second.id(), new EndpointLoadTracker.Report(SLOTS, 1, SLOTS, 1), 0);
-
-    assertEquals(Optional.of(first), selector.select("s", turn("long", 800), Set.of(), 0));
-    assertEquals(Optional.of(second), selector.select("s", turn("short", 50), Set.of(), 0));
-  }
-
   @Test
   @DisplayName("selects no unreachable endpoint while another one only has no permit left")
   void usedUpLimitBesideUnreachableEndpoint() {
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
@@ -232,7 +232,7 @@
 
     private void complete(Engine engine) {
       vm.loads.recordRequestEnd(engine.entry.id());
-      vm.times.recordCompletion("llm", (long) (nowMs - sentAtMs), OUTPUT_TOKENS);
+      vm.times.recordDuration("llm", (long) (nowMs - sentAtMs));
       vm.prefixes.recordProcessed(prefix(), engine.entry);
       double idleMs =
           OUTPUT_TOKENS * (STEP_MS + STEP_MS_PER_SLOT)
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
@@ -161,7 +161,7 @@
       EndpointId id = endpoint.entry.id();
       EndpointLoadTracker.Report report =
           new EndpointLoadTracker.Report(endpoint.running, endpoint.waiting.size(), SLOTS, 1.0);
-      request.vm().serviceTimes.recordCompletion("s", nowMs - request.arrivedAtMs(), 0);
+      request.vm().serviceTimes.recordDuration("s", nowMs - request.arrivedAtMs());
       request.vm().loads.recordReport(id, report, nowMs);
       request.vm().loads.recordRequestEnd(id);
       request.vm().loads.recordOutcome(id, true, nowMs);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -227,10 +227,7 @@
     gateway
         .loads()
         .recordOutcome(attempt.endpoint().id(), responseHead.status() < SERVER_FAILURE, now());
-    gateway
-        .serviceTimes()
-        .recordCompletion(
-            service, now() - attempt.sentAtMs(), request.metadata().maxOutputTokens());
+    gateway.serviceTimes().recordDuration(service, now() - attempt.sentAtMs());
     gateway.prefixCache().recordProcessed(request.metadata().prefix(), attempt.endpoint());
     if (!response.isStarted()) {
       response.writeComplete(responseHead, responseHeaders, bufferedBody);
