--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestLimitTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestLimitTest.java
@@ -50,6 +50,24 @@
         received + " requests in 4 s, " + MAX_REQUESTS_IN_4_S + " allowed");
   }
 
+  @Test
+  @DisplayName("together stay within the limits if every endpoint has one")
+  void limitsHoldIfNoOtherEndpointTakesTheRest() {
+    environment.joinSecondVm("dc");
+    setBothLimits(Optional.of(String.valueOf(LIMIT_PER_S)));
+    environment.sendAtRate(40, 1_000, "/safe/x");
+
+    int firstBefore = environment.firstEndpoint().receivedDeadlines().size();
+    int secondBefore = environment.secondEndpoint().receivedDeadlines().size();
+    environment.sendAtRate(40, 4_000, "/safe/x");
+
+    int first = environment.firstEndpoint().receivedDeadlines().size() - firstBefore;
+    int second = environment.secondEndpoint().receivedDeadlines().size() - secondBefore;
+    assertTrue(
+        Math.max(first, second) <= MAX_REQUESTS_IN_4_S,
+        first + " and " + second + " requests in 4 s, " + MAX_REQUESTS_IN_4_S + " allowed");
+  }
+
   @Test
   @DisplayName("learn of the limit from the VM that got the response, and of its end")
   void limitAndItsEndAreShared() {
