--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -16,14 +16,12 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -35,7 +33,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -47,7 +44,7 @@
   private static final SplittableRandom RANDOM = new SplittableRandom(7);
 
   private final Vertx vertx = Vertx.vertx();
-  private final Vertx secondVertx = singleLoopVertx();
+  private final Vertx secondVertx = TestRuntime.singleLoopVertx();
   private final HttpClient client = vertx.createHttpClient();
   private final Context clientContext = vertx.getOrCreateContext();
   private final StandinStore store = new StandinStore(vertx);
@@ -57,7 +54,7 @@
   private final StandinEndpoint thirdEndpoint = new StandinEndpoint(vertx, "e3");
   private final List<Closeable> sockets = new ArrayList<>();
   private final int storePort;
-  private Vertx vmVertx = singleLoopVertx();
+  private Vertx vmVertx = TestRuntime.singleLoopVertx();
   private GatewayNode vm;
   private GatewayNode secondVm;
   private int lastRequestId;
@@ -256,20 +253,21 @@
 
   // The state of a VM may only be read on its event loop, which updates it.
   int usableEndpointsAtFirstVm() {
-    return Await.result(callOnContext(vmVertx, () -> vm.usableEndpoints("s")));
+    return Await.result(TestRuntime.callOnContext(vmVertx, () -> vm.usableEndpoints("s")));
   }
 
   int usableEndpointsAtSecondVm() {
-    return Await.result(callOnContext(secondVertx, () -> secondVm.usableEndpoints("s")));
+    return Await.result(
+        TestRuntime.callOnContext(secondVertx, () -> secondVm.usableEndpoints("s")));
   }
 
   /** Returns the number of budget partitions that the first VM has loaded. */
   int loadedPartitionsAtFirstVm() {
-    return Await.result(callOnContext(vmVertx, () -> vm.loadedPartitions()));
+    return Await.result(TestRuntime.callOnContext(vmVertx, () -> vm.loadedPartitions()));
   }
 
   int loadedPartitionsAtSecondVm() {
-    return Await.result(callOnContext(secondVertx, () -> secondVm.loadedPartitions()));
+    return Await.result(TestRuntime.callOnContext(secondVertx, () -> secondVm.loadedPartitions()));
   }
 
   private void awaitUsableEndpoints(int count) {
@@ -339,14 +337,14 @@
 
   void restartVm() {
     Await.result(vmVertx.close());
-    vmVertx = singleLoopVertx();
+    vmVertx = TestRuntime.singleLoopVertx();
     vm = startVm(vmVertx, storePort, "vm-1", "dc", List.of());
   }
 
   /** Restarts the first VM with the second one as its seed. */
   void restartVmBesideSecond() {
     Await.result(vmVertx.close());
-    vmVertx = singleLoopVertx();
+    vmVertx = TestRuntime.singleLoopVertx();
     List<HostPort> seeds = List.of(new HostPort("127.0.0.1", secondVm.peerPort()));
     vm = startVm(vmVertx, storePort, "vm-1", "dc", seeds);
   }
@@ -363,6 +361,24 @@
     Await.until("both VMs know each other", () -> vm.knownVms() == 2 && secondVm.knownVms() == 2);
   }
 
+  /**
+   * Starts a second VM that has its own network paths to both endpoints, so that the returned paths
+   * of the first VM can be cut alone.
+   */
+  VmLinks joinSecondVmWithOwnLinks() throws IOException {
+    VmLinks links = VmLinks.create(List.of(firstEndpoint, secondEndpoint), store, secondStore);
+    sockets.add(links);
+    VmLinks.registerVm(secondStore, "vm-1", vm.peerPort());
+    secondVm = startVm(secondVertx, Await.result(secondStore.start()), "vm-2", "dc", List.of());
+    VmLinks.registerVm(store, "vm-2", secondVm.peerPort());
+    Await.until("the second VM is ready", () -> secondReadyStatus() == 200);
+    Await.until("both VMs know each other", () -> vm.knownVms() == 2 && secondVm.knownVms() == 2);
+    Await.until(
+        "the first VM uses its links",
+        () -> call("GET", "/safe/x", Map.of()).status() == 200 && links.openConnections() > 0);
+    return links;
+  }
+
   /** Stops the first VM without a graceful shutdown; its state in memory is lost. */
   void killVm() {
     Await.result(vmVertx.close());
@@ -412,7 +428,7 @@
   /** Reserves a turn at the first VM as a peer does that cannot reach the store. */
   TokenBudgets.Verdict reserveFromMemory(String program, long budget, long maxTokens) {
     Future<Future<TokenBudgets.Verdict>> reservation =
-        callOnContext(
+        TestRuntime.callOnContext(
             vmVertx,
             () ->
                 vm.allowances()
@@ -522,7 +538,7 @@
             dataCentre,
             EPHEMERAL_PORT,
             EPHEMERAL_PORT,
-            Optional.of(new HostPort("127.0.0.1", freePort())),
+            Optional.of(new HostPort("127.0.0.1", TestRuntime.freePort())),
             seeds,
             new HostPort("127.0.0.1", storePort),
             2,
@@ -534,33 +550,13 @@
     InstantSource clock = new SteadyClock(InstantSource.system(), System::nanoTime);
     GatewayNode node =
         Await.result(
-            callOnContext(
+            TestRuntime.callOnContext(
                 runtime,
                 () -> new GatewayNode(runtime, settings, () -> settings, clock, RANDOM.split())));
-    Await.result(callOnContext(runtime, node::start).compose(started -> started));
+    Await.result(TestRuntime.callOnContext(runtime, node::start).compose(started -> started));
     return node;
   }
 
-  // The VM registers its address in the store before it listens, so the port must be known.
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException("no free port", e);
-    }
-  }
-
-  // With one event loop, state that is read in callOnContext is read on the loop that updates it.
-  private static Vertx singleLoopVertx() {
-    return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-  }
-
-  private static <T> Future<T> callOnContext(Vertx runtime, Supplier<T> step) {
-    Promise<T> promise = Promise.promise();
-    runtime.getOrCreateContext().runOnContext(run -> promise.complete(step.get()));
-    return promise.future();
-  }
-
   private Future<Response> send(
       int port, HttpMethod method, String path, Map<String, String> headers) {
     RequestOptions options =
--- /dev/null
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestRuntime.java
@@ -0,0 +1,38 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.util.function.Supplier;
+
+/** Creates the event loops on which tests run VMs. */
+final class TestRuntime {
+
+  private TestRuntime() {}
+
+  /**
+   * With one event loop, state that is read in callOnContext is read on the loop that updates it.
+   */
+  static Vertx singleLoopVertx() {
+    return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  }
+
+  static <T> Future<T> callOnContext(Vertx runtime, Supplier<T> step) {
+    Promise<T> promise = Promise.promise();
+    runtime.getOrCreateContext().runOnContext(run -> promise.complete(step.get()));
+    return promise.future();
+  }
+
+  /** The VM registers its address in the store before it listens, so the port must be known. */
+  static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException("no free port", e);
+    }
+  }
+}
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -111,6 +111,11 @@
     return server.close();
   }
 
+  /** Returns the port that the endpoint listens on. */
+  public int port() {
+    return port;
+  }
+
   /** Returns the entry with which the endpoint registers in the endpoint list, as JSON. */
   public String entry(String service, String state, long sequence) {
     return entryAt(port, service, state, sequence, softwareVersion);
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinStore.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinStore.java
@@ -61,7 +61,12 @@
 
   /** Appends a record for the key to partition 0, as the operator and the endpoints do. */
   public synchronized void put(String topic, String key, String value) {
-    partition(topic, "0").add(record(key, value.getBytes(StandardCharsets.UTF_8)));
+    put(topic, key, value.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Appends a record for the key to partition 0. */
+  public synchronized void put(String topic, String key, byte[] value) {
+    partition(topic, "0").add(record(key, value));
   }
 
   /** Drops the history of a partition; only the newest record of each key can still be listed. */
