--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
@@ -14,7 +14,12 @@
   RATE_LIMITED(false, false),
   /** The connection broke, or the received bytes were not a response to this request. */
   BROKEN(true, false),
-  /** The endpoint stopped responding and accepts no connections. */
+  /**
+   * The path to the endpoint failed; the endpoint is reachable by another path and may still run
+   * the request.
+   */
+  PATH_LOST(true, false),
+  /** The endpoint stopped responding and accepts no connections, on any path. */
   UNREACHABLE(true, true);
 
   private final boolean mayHaveRun;
@@ -30,6 +35,11 @@
     return mayHaveRun;
   }
 
+  /** Returns whether the connection failed while the endpoint remains reachable by a new one. */
+  boolean isConnectionLost() {
+    return this == BROKEN || this == PATH_LOST;
+  }
+
   /** Returns whether the endpoint has terminated or is unreachable. */
   public boolean isEndpointLost() {
     return endpointLost;
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
@@ -90,7 +90,7 @@
     if (attempts >= MAX_ATTEMPTS) {
       return mayHaveRun ? RetryAction.ANSWER_UNKNOWN : RetryAction.ANSWER_NOT_RUN;
     }
-    if (failure == AttemptFailure.BROKEN
+    if (failure.isConnectionLost()
         && ++consecutiveBrokenAttempts < MAX_BROKEN_ATTEMPTS_PER_ENDPOINT) {
       return RetryAction.SAME_ENDPOINT;
     }
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointSelector.java
@@ -33,9 +33,12 @@
   /** Relative slowdown of a request on a full engine over an idle one, from the data sheet. */
   static final double FULL_ENGINE_SLOWDOWN = 0.3;
 
-  /** Cost of a request to another data centre: one round trip on the link and its traffic. */
+  /** Cost of a link to another data centre on the path: one round trip on it and its traffic. */
   static final double REMOTE_DATA_CENTRE_COST_MS = 15;
 
+  /** Cost of a path through another VM: its processing time and one more hop. */
+  static final double RELAY_COST_MS = 2;
+
   /** Cost of an endpoint with a request limit: the time to obtain a permit from another VM. */
   static final double LIMITED_ENDPOINT_COST_MS = 4;
 
@@ -59,22 +62,22 @@
   private final PrefixCacheIndex prefixCache;
   private final ServiceTimeAverages serviceTimes;
   private final RequestLimits requestLimits;
-  private final String dataCentre;
+  private final EndpointPaths paths;
 
-  /** Creates a selector for a VM in the given data centre. */
+  /** Creates a selector for a VM that reaches the endpoints by the given paths. */
   public EndpointSelector(
       EndpointDirectory directory,
       EndpointLoadTracker loads,
       PrefixCacheIndex prefixCache,
       ServiceTimeAverages serviceTimes,
       RequestLimits requestLimits,
-      String dataCentre) {
+      EndpointPaths paths) {
     this.directory = directory;
     this.loads = loads;
     this.prefixCache = prefixCache;
     this.serviceTimes = serviceTimes;
     this.requestLimits = requestLimits;
-    this.dataCentre = dataCentre;
+    this.paths = paths;
   }
 
   /**
@@ -176,8 +179,9 @@
     if (requestLimits.find(endpoint).isPresent()) {
       costMs += LIMITED_ENDPOINT_COST_MS;
     }
-    if (!endpoint.dataCentre().equals(dataCentre)) {
-      costMs += REMOTE_DATA_CENTRE_COST_MS;
+    costMs += paths.remoteLinks(endpoint) * REMOTE_DATA_CENTRE_COST_MS;
+    if (paths.relay(endpoint.id()).isPresent()) {
+      costMs += RELAY_COST_MS;
     }
     return costMs + spreadMs(metadata, endpoint);
   }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.settings.HostPort;
 import java.util.List;
 import java.util.Optional;
@@ -28,8 +29,9 @@
   private final EndpointLoadTracker loads = new EndpointLoadTracker();
   private final PrefixCacheIndex prefixes = new PrefixCacheIndex(16);
   private final RequestLimits limits = new RequestLimits();
+  private final EndpointPaths paths = new EndpointPaths(new VmId("vm"), "here");
   private final EndpointSelector selector =
-      new EndpointSelector(directory, loads, prefixes, new ServiceTimeAverages(), limits, "here");
+      new EndpointSelector(directory, loads, prefixes, new ServiceTimeAverages(), limits, paths);
   private final EndpointEntry first = add("e1", "here");
   private final EndpointEntry second = add("e2", "here");
 
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.gateway.RequestMetadata.PromptSegment;
 import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.settings.HostPort;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -70,7 +71,14 @@
     private final EndpointSelector selector;
 
     private Vm(String dataCentre) {
-      selector = new EndpointSelector(directory, loads, prefixes, times, limits, dataCentre);
+      selector =
+          new EndpointSelector(
+              directory,
+              loads,
+              prefixes,
+              times,
+              limits,
+              new EndpointPaths(new VmId("vm"), dataCentre));
     }
   }
 
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
@@ -42,7 +42,12 @@
     Vm(EndpointDirectory directory) {
       selector =
           new EndpointSelector(
-              directory, loads, new PrefixCacheIndex(16), serviceTimes, new RequestLimits(), "dc");
+              directory,
+              loads,
+              new PrefixCacheIndex(16),
+              serviceTimes,
+              new RequestLimits(),
+              new EndpointPaths(new VmId("vm"), "dc"));
     }
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
@@ -1,20 +1,26 @@
 package io.magnoliaroute.daemon.gateway;
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
+import io.magnoliaroute.core.gateway.VmEntry;
 import io.vertx.core.http.HttpClientConnection;
+import java.util.Optional;
 
-/** A pooled connection to an endpoint. Carries one request at a time. */
+/** A pooled connection to an endpoint, direct or through a relay. Carries one request at a time. */
 final class EndpointConnection {
 
   private final EndpointEntry endpoint;
+  private final Optional<VmEntry> relay;
   private final HttpClientConnection connection;
+  private boolean pathLost;
   private Runnable onClose = () -> {};
   private boolean closed;
   private boolean reused;
   private long reusableUntilMs;
 
-  EndpointConnection(EndpointEntry endpoint, HttpClientConnection connection) {
+  EndpointConnection(
+      EndpointEntry endpoint, Optional<VmEntry> relay, HttpClientConnection connection) {
     this.endpoint = endpoint;
+    this.relay = relay;
     this.connection = connection;
   }
 
@@ -22,6 +28,21 @@
     return endpoint;
   }
 
+  /** Returns the VM through which the connection leads; empty if it is direct. */
+  Optional<VmEntry> relay() {
+    return relay;
+  }
+
+  /** Marks that no new connection can be established on the path of this one. */
+  void markPathLost() {
+    pathLost = true;
+  }
+
+  /** Returns whether the path of the connection was lost after it had been opened. */
+  boolean isPathLost() {
+    return pathLost;
+  }
+
   HttpClientConnection connection() {
     return connection;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -1,10 +1,12 @@
 package io.magnoliaroute.daemon.gateway;
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
+import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.core.model.EndpointId;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.net.SocketAddress;
@@ -12,9 +14,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.IntUnaryOperator;
 
 /** The pool of connections from this VM to endpoints. Confined to one event loop. */
@@ -45,8 +50,14 @@
 
   private static final class Pool {
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
-    private int open;
+    private final Set<EndpointConnection> open = new HashSet<>();
+    private int connecting;
     private long startedAtMs;
+
+    // Connections on a lost path do not take the place of those on the path that replaces it.
+    private int size() {
+      return connecting + (int) open.stream().filter(each -> !each.isPathLost()).count();
+    }
   }
 
   /**
@@ -87,13 +98,17 @@
     return openedCount;
   }
 
-  /** Removes and returns a reusable idle connection to the endpoint, if there is one. */
-  Optional<EndpointConnection> pollIdle(EndpointEntry endpoint) {
+  /**
+   * Removes and returns a reusable idle connection, if there is one.
+   *
+   * @param relay the VM through which the connection leads; empty for a direct connection
+   */
+  Optional<EndpointConnection> pollIdle(EndpointEntry endpoint, Optional<VmEntry> relay) {
     Pool pool = pool(endpoint);
     long nowMs = clock.millis();
     while (!pool.idle.isEmpty()) {
       EndpointConnection candidate = pool.idle.pollLast();
-      if (candidate.isReusable(nowMs)) {
+      if (candidate.isReusable(nowMs) && candidate.relay().equals(relay)) {
         return Optional.of(candidate);
       }
       close(candidate);
@@ -105,25 +120,29 @@
    * Opens a connection to the endpoint. Fails with {@link ConnectionLimitReachedException} if the
    * share of this VM is in use.
    *
+   * @param relay the VM through which the connection leads; empty for a direct connection
    * @param maxConnections the number of connections that the endpoint accepts from all VMs
    */
-  Future<EndpointConnection> open(EndpointEntry endpoint, int maxConnections) {
+  Future<EndpointConnection> open(
+      EndpointEntry endpoint, Optional<VmEntry> relay, int maxConnections) {
     Pool pool = pool(endpoint);
-    if (pool.open >= connectionShare.applyAsInt(maxConnections)) {
+    if (pool.size() >= connectionShare.applyAsInt(maxConnections)) {
       return Future.failedFuture(
-          new ConnectionLimitReachedException(pool.open + " connections open to " + endpoint.id()));
+          new ConnectionLimitReachedException(
+              pool.size() + " connections open to " + endpoint.id()));
     }
-    pool.open++;
+    pool.connecting++;
     openedCount++;
-    return connect(endpoint)
-        .onFailure(e -> pool.open--)
+    return connect(endpoint, relay)
+        .onComplete(done -> pool.connecting--)
         .map(
             connection -> {
-              EndpointConnection pooled = new EndpointConnection(endpoint, connection);
+              EndpointConnection pooled = new EndpointConnection(endpoint, relay, connection);
+              pool.open.add(pooled);
               connection.exceptionHandler(e -> close(pooled));
               connection.closeHandler(
                   closed -> {
-                    pool.open--;
+                    pool.open.remove(pooled);
                     pool.idle.remove(pooled);
                     pooled.markClosed();
                   });
@@ -135,10 +154,11 @@
    * Returns whether the endpoint accepts connections. Opens a connection, which then stays in the
    * pool. An endpoint whose share of connections is in use counts as reachable.
    *
+   * @param relay the VM through which the connection leads; empty for a direct connection
    * @param maxConnections the number of connections that the endpoint accepts from all VMs
    */
-  Future<Boolean> probe(EndpointEntry endpoint, int maxConnections) {
-    return open(endpoint, maxConnections)
+  Future<Boolean> probe(EndpointEntry endpoint, Optional<VmEntry> relay, int maxConnections) {
+    return open(endpoint, relay, maxConnections)
         .map(
             connection -> {
               release(connection, Optional.empty());
@@ -152,6 +172,10 @@
     if (connection.isClosed()) {
       return;
     }
+    if (connection.isPathLost()) {
+      close(connection);
+      return;
+    }
     long idleMs = (long) (idleTimeoutMs.orElse(DEFAULT_IDLE_TIMEOUT_MS) * REUSABLE_IDLE_FRACTION);
     connection.markIdleUntil(clock.millis() + idleMs);
     pool(connection.endpoint()).idle.addLast(connection);
@@ -164,6 +188,38 @@
     }
   }
 
+  /** Returns whether this VM has a connection to the endpoint. */
+  boolean isConnected(EndpointId endpoint) {
+    Pool pool = pools.get(endpoint);
+    return pool != null && !pool.open.isEmpty();
+  }
+
+  /** Closes the idle connections on a lost path and marks the ones that carry requests. */
+  void markPathLost(EndpointId endpoint, Optional<VmEntry> relay) {
+    for (EndpointConnection each : openOn(endpoint, relay)) {
+      each.markPathLost();
+      closeIfIdle(each);
+    }
+  }
+
+  /** Closes the idle connections on a path that is no longer used. */
+  void closeIdle(EndpointId endpoint, Optional<VmEntry> relay) {
+    openOn(endpoint, relay).forEach(this::closeIfIdle);
+  }
+
+  private List<EndpointConnection> openOn(EndpointId endpoint, Optional<VmEntry> relay) {
+    Pool pool = pools.get(endpoint);
+    return pool == null
+        ? List.of()
+        : pool.open.stream().filter(each -> each.relay().equals(relay)).toList();
+  }
+
+  private void closeIfIdle(EndpointConnection connection) {
+    if (pool(connection.endpoint()).idle.remove(connection)) {
+      close(connection);
+    }
+  }
+
   /** Closes the idle connections to an endpoint that receives no further requests. */
   void closeIdle(EndpointId endpoint) {
     Pool pool = pools.get(endpoint);
@@ -186,15 +242,21 @@
     }
   }
 
-  private Future<io.vertx.core.http.HttpClientConnection> connect(EndpointEntry endpoint) {
-    return client.connect(
+  private Future<HttpClientConnection> connect(EndpointEntry endpoint, Optional<VmEntry> relay) {
+    HttpConnectOptions options =
         new HttpConnectOptions()
             .setServer(
                 SocketAddress.inetSocketAddress(
                     endpoint.address().port(), endpoint.address().host()))
             .setHost(endpoint.address().host())
             .setPort(endpoint.address().port())
-            .setConnectTimeout(CONNECT_TIMEOUT_MS));
+            .setConnectTimeout(CONNECT_TIMEOUT_MS);
+    relay.ifPresent(
+        vm ->
+            options
+                .setServer(TunnelRequest.address(endpoint))
+                .setProxyOptions(TunnelRequest.proxyOptions(vm)));
+    return client.connect(options);
   }
 
   // Connections to an earlier incarnation of the endpoint, which used the same id, are stale.
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EngineReportClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EngineReportClient.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EngineReport;
+import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.platform.EngineReportDecoder;
 import io.magnoliaroute.platform.PlatformFormatException;
 import io.vertx.core.Future;
@@ -11,6 +12,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
 
 /** Fetches the status reports of model engines. Confined to one event loop. */
 final class EngineReportClient {
@@ -32,10 +34,11 @@
   /**
    * Fetches a report over a separate connection, which is closed afterwards.
    *
+   * @param relay the VM through which the connection leads; empty for a direct connection
    * @param maxConnections the number of connections that the endpoint accepts from all VMs
    */
-  Future<EngineReport> fetch(EndpointEntry endpoint, int maxConnections) {
-    return connections.open(endpoint, maxConnections).compose(this::fetchOn);
+  Future<EngineReport> fetch(EndpointEntry endpoint, Optional<VmEntry> relay, int maxConnections) {
+    return connections.open(endpoint, relay, maxConnections).compose(this::fetchOn);
   }
 
   private Future<EngineReport> fetchOn(EndpointConnection connection) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -64,6 +64,7 @@
   private final Fingerprint fingerprint;
   private final StreamBinding stream;
   private final Placement placement;
+  private final EndpointConnector connector;
   private final ExchangeLog log;
   private final String service;
   private final Runnable onFinished;
@@ -89,6 +90,7 @@
     this.reservation = new TurnReservation(gateway.budgets(), request.metadata());
     String key = request.metadata().programId().orElse(request.metadata().requestId());
     this.service = request.route().serviceFor(Hashing.fnv1a64(key) >>> 1);
+    this.connector = new EndpointConnector(gateway);
     this.log = new ExchangeLog(gateway, request.metadata());
     this.stream = new StreamBinding(gateway, request.metadata(), service);
     this.placement =
@@ -253,7 +255,8 @@
     if (failure == AttemptFailure.REFUSED_GONE) {
       gateway.routingState().endpoints().removeDisplaced(endpoint);
     }
-    if (failure.mayHaveRun()) {
+    // A lost path says nothing about the health of the endpoint.
+    if (failure.mayHaveRun() && failure != AttemptFailure.PATH_LOST) {
       lastBrokenEndpoint = endpoint;
       gateway.loads().recordOutcome(endpoint.id(), false, now());
     }
@@ -453,18 +456,8 @@
     history.beginAttempt(endpoint.id());
     // An endpoint that has refused this request may send the refusal twice. With a new connection,
     // the late copy cannot be read as the response to this attempt.
-    Optional<EndpointConnection> idle =
-        newConnection || history.wasRefusedBy(endpoint.id())
-            ? Optional.empty()
-            : gateway.connections().pollIdle(endpoint);
-    if (idle.isPresent()) {
-      startAttempt(idle.get());
-      return;
-    }
-    int maxConnections = serviceSpec().map(ServiceSpec::maxConnections).orElse(1);
-    gateway
-        .connections()
-        .open(endpoint, maxConnections)
+    boolean openNew = newConnection || history.wasRefusedBy(endpoint.id());
+    (openNew ? connector.open(endpoint) : connector.connect(endpoint))
         .onSuccess(
             connection -> {
               if (finished) {
@@ -478,11 +471,16 @@
 
   private void handleConnectFailure(EndpointEntry endpoint, Throwable cause) {
     boolean limitReached = cause instanceof EndpointConnectionPool.ConnectionLimitReachedException;
-    if (!limitReached) {
-      gateway.reachability().markUnreachable(endpoint, String.valueOf(cause.getMessage()));
-      if (endpoint.equals(lastBrokenEndpoint)) {
-        reportCrash(endpoint);
-      }
+    if (!limitReached && endpoint.equals(lastBrokenEndpoint)) {
+      gateway
+          .reachability()
+          .awaitSearch(endpoint)
+          .onSuccess(
+              reachable -> {
+                if (!reachable) {
+                  reportCrash(endpoint);
+                }
+              });
     }
     gateway.metrics().countFailedAttempt(limitReached ? "NO_CONNECTION_LEFT" : "NOT_CONNECTED");
     proceedAfterFailure(
@@ -510,7 +508,7 @@
     long leftMs = Math.max(1, deadlineMs - now());
     RequestHeaderCodec.encode(
         request.headers(), headers, connection.endpoint(), leftMs, eventSplitter.lastId());
-    log.logSent(connection.endpoint(), history.attempts(), leftMs, eventSplitter.lastId());
+    log.logSent(connection, history.attempts(), leftMs, eventSplitter.lastId());
     currentAttempt = new RequestAttempt(gateway, connection, this, request.metadata().requestId());
     currentAttempt.start(
         new RequestAttempt.OutboundRequest(
@@ -526,7 +524,9 @@
       return;
     }
     boolean sent = currentAttempt != null || history.mayHaveRun();
-    if (currentAttempt != null && !currentAttempt.hasResponseStarted()) {
+    if (currentAttempt != null
+        && !currentAttempt.hasResponseStarted()
+        && !currentAttempt.isPathLost()) {
       gateway.loads().recordOutcome(currentAttempt.endpoint().id(), false, now());
     }
     if (response.isStarted()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
@@ -16,10 +16,13 @@
   }
 
   /** Logs that the request is sent to an endpoint, and what is known of the endpoint. */
-  void logSent(EndpointEntry endpoint, int attempts, long leftMs, Optional<String> lastEventId) {
+  void logSent(
+      EndpointConnection connection, int attempts, long leftMs, Optional<String> lastEventId) {
+    EndpointEntry endpoint = connection.endpoint();
     long nowMs = gateway.clock().millis();
     line("request_sent")
         .put("endpoint", endpoint.id().value())
+        .put("path", connection.relay().map(relay -> relay.vm().value()).orElse("direct"))
         .put("service", endpoint.service())
         .put("software_version", endpoint.softwareVersion())
         .put("busy", (long) gateway.loads().estimatedRequests(endpoint.id(), nowMs))
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.daemon.gateway;
 
 import io.magnoliaroute.core.gateway.EndpointLoadTracker;
+import io.magnoliaroute.core.gateway.EndpointPaths;
 import io.magnoliaroute.core.gateway.EndpointSelector;
 import io.magnoliaroute.core.gateway.PrefixCacheIndex;
 import io.magnoliaroute.core.gateway.ServiceTimeAverages;
@@ -19,8 +20,10 @@
  * @param prefixCache the index of the prompt prefixes that endpoints have cached
  * @param serviceTimes the average processing times of services
  * @param endpointSelector selects an endpoint for a request
+ * @param paths the paths by which this VM reaches endpoints
  * @param connections the pool of connections to endpoints
  * @param reachability tracks which endpoints accept connections
+ * @param tunnelEnds determines how connections through relays have ended
  * @param departures handles endpoints that announce their departure
  * @param requestPermits obtains the permits for requests to endpoints with a request limit
  * @param serviceVersions keeps the software versions in service
@@ -41,8 +44,10 @@
     PrefixCacheIndex prefixCache,
     ServiceTimeAverages serviceTimes,
     EndpointSelector endpointSelector,
+    EndpointPaths paths,
     EndpointConnectionPool connections,
     ReachabilityMonitor reachability,
+    TunnelEnds tunnelEnds,
     DepartureTracker departures,
     RequestPermits requestPermits,
     ServiceVersionLog serviceVersions,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EndpointLoadTracker;
+import io.magnoliaroute.core.gateway.EndpointPaths;
 import io.magnoliaroute.core.gateway.EndpointSelector;
 import io.magnoliaroute.core.gateway.EngineReport;
 import io.magnoliaroute.core.gateway.PrefixCacheIndex;
@@ -98,6 +99,7 @@
   private final PeerConnections peers;
   private final PeerMessageHandler peerMessageHandler;
   private final OutcomeSharing outcomeSharing;
+  private final TunnelServer tunnelServer;
   private final RequestPermits requestPermits;
   private final ServiceVersionLog serviceVersionLog;
   private final StreamVersions streamVersions;
@@ -151,10 +153,10 @@
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock, log);
     EndpointLoadTracker loads = new EndpointLoadTracker();
     EndpointConnectionPool connections =
-        new EndpointConnectionPool(
-            vertx, clock, accepted -> Math.max(MIN_CONNECTIONS, accepted / vmDirectory.size()));
-    ReachabilityMonitor reachability =
-        new ReachabilityMonitor(routingState, loads, connections, clock, log);
+        new EndpointConnectionPool(vertx, clock, this::connectionShare);
+    EndpointPaths paths = new EndpointPaths(settings.vm(), settings.dataCentre());
+    ReachabilityMonitor reachability = createReachability(loads, paths, connections);
+    this.tunnelServer = new TunnelServer(vertx, routingState, paths, reachability, clock, metrics);
     DepartureTracker departures = new DepartureTracker(routingState, connections, log);
     this.requestPermits = createPermits(self);
     ServiceVersions versions = new ServiceVersions();
@@ -179,15 +181,21 @@
                 departures,
                 outcomeSharing,
                 requestPermits,
+                tunnelServer,
                 clock::millis),
             random);
     crashQuarantine.setListener(peerMessageHandler::broadcastCrash);
     reachability.setListener(peerMessageHandler::broadcastUnreachable);
     departures.setListener(peerMessageHandler::broadcastDeparture);
-    this.gateway = createContext(loads, connections, reachability, departures, crashQuarantine);
+    this.gateway =
+        createContext(loads, paths, connections, reachability, departures, crashQuarantine);
     this.clientServer = new ClientServer(gateway);
   }
 
+  private int connectionShare(int accepted) {
+    return Math.max(MIN_CONNECTIONS, accepted / vmDirectory.size());
+  }
+
   private AllowanceService createAllowances(VmEntry self) {
     String holder =
         settings.vm().value() + AllowanceService.HOLDER_SEPARATOR + random.nextLong(Long.MAX_VALUE);
@@ -211,8 +219,21 @@
     return new RequestPermits(vertx, peers, issuers, requestLimits, clock, log, metrics);
   }
 
+  private ReachabilityMonitor createReachability(
+      EndpointLoadTracker loads, EndpointPaths paths, EndpointConnectionPool connections) {
+    return new ReachabilityMonitor(
+        routingState, loads, paths, connections, this::availableVms, clock, log);
+  }
+
+  private List<VmEntry> availableVms() {
+    return vmDirectory.all().stream()
+        .filter(vm -> !vm.vm().equals(settings.vm()) && !peers.isUnreachable(vm.address()))
+        .toList();
+  }
+
   private GatewayContext createContext(
       EndpointLoadTracker loads,
+      EndpointPaths paths,
       EndpointConnectionPool connections,
       ReachabilityMonitor reachability,
       DepartureTracker departures,
@@ -221,14 +242,9 @@
     ServiceTimeAverages serviceTimes = new ServiceTimeAverages();
     EndpointSelector endpointSelector =
         new EndpointSelector(
-            routingState.endpoints(),
-            loads,
-            prefixCache,
-            serviceTimes,
-            requestLimits,
-            settings.dataCentre());
+            routingState.endpoints(), loads, prefixCache, serviceTimes, requestLimits, paths);
     Watchdog watchdog = new Watchdog(clock, log);
-    watchdog.setProber(createProber(connections, reachability));
+    watchdog.setProber(createProber(paths, connections, reachability));
     return new GatewayContext(
         vertx,
         clock,
@@ -238,8 +254,10 @@
         prefixCache,
         serviceTimes,
         endpointSelector,
+        paths,
         connections,
         reachability,
+        new TunnelEnds(peers),
         departures,
         requestPermits,
         serviceVersionLog,
@@ -253,7 +271,7 @@
   }
 
   private Watchdog.Prober createProber(
-      EndpointConnectionPool connections, ReachabilityMonitor reachability) {
+      EndpointPaths paths, EndpointConnectionPool connections, ReachabilityMonitor reachability) {
     EngineReportClient reportClient = new EngineReportClient(vertx, connections);
     return new Watchdog.Prober() {
       @Override
@@ -270,7 +288,7 @@
 
       private Future<Optional<EngineReport>> fetch(EndpointEntry endpoint) {
         return reportClient
-            .fetch(endpoint, reachability.maxConnections(endpoint))
+            .fetch(endpoint, paths.relay(endpoint.id()), reachability.maxConnections(endpoint))
             .map(Optional::of);
       }
     };
@@ -302,7 +320,7 @@
     Future<?> peerListening =
         settings.peerListen().isPresent()
             ? peers
-                .listen(settings.peerListen().get(), peerMessageHandler)
+                .listen(settings.peerListen().get(), peerMessageHandler, tunnelServer)
                 .onSuccess(listening -> peerPort = listening.actualPort())
             : Future.succeededFuture();
     return peerListening
@@ -318,7 +336,7 @@
     ticks++;
     runTask("share outcomes", outcomeSharing::shareIfDue);
     runTask("check attempts", gateway.watchdog()::check);
-    runTask("probe endpoints", gateway.reachability()::probeUnreachable);
+    runTask("probe endpoints", gateway.reachability()::probeLostPaths);
     boolean outdated =
         !routingState.canRoute()
             || routingStateOutdated.getAsBoolean()
@@ -333,6 +351,7 @@
 
   private void runMaintenance() {
     runTask("close idle endpoint connections", gateway.connections()::closeExpired);
+    runTask("remove unlisted endpoints", gateway.reachability()::removeUnlisted);
     runTask("maintain budgets", allowances::maintain);
     runTask("maintain versions", serviceVersionLog::maintain);
     runTask("reconnect peers", peers::reconnectUnreachable);
@@ -383,6 +402,7 @@
     long startedMs = clock.millis();
     log.line("stopping").put("requests", clientServer.activeRequests()).write();
     clientServer.beginShutdown();
+    tunnelServer.beginShutdown();
     vmDirectory.deregister();
     allowances.beginDrain();
     long limitMs = startedMs + settings.stopGracePeriodMs() - STOP_MARGIN_MS;
@@ -402,7 +422,10 @@
             return;
           }
           clientServer.closeIdle();
-          boolean idle = clientServer.activeRequests() == 0 && clientServer.openConnections() == 0;
+          boolean idle =
+              clientServer.activeRequests() == 0
+                  && clientServer.openConnections() == 0
+                  && tunnelServer.openTunnels() == 0;
           if (idle || nowMs >= limitMs) {
             vertx.cancelTimer(timer);
             next.run();
@@ -423,7 +446,9 @@
         .onComplete(ended -> awaitIdle(clock.millis(), limitMs, () -> completeStop(done)));
   }
 
-  private void completeStop(Promise<Void> done) {
+  /** Ends the stop; connections that are still open are closed with the process. */
+  void completeStop(Promise<Void> done) {
+    tunnelServer.close();
     log.line("stopped").put("requests_cut", clientServer.activeRequests()).write();
     log.flush();
     done.complete();
@@ -438,6 +463,11 @@
     return ready;
   }
 
+  /** Returns whether this VM may still replace its view of the endpoints by that of a peer. */
+  boolean isStarting() {
+    return peerMessageHandler.isAwaitingPeerState();
+  }
+
   int clientPort() {
     return clientPort;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
@@ -47,6 +47,7 @@
   private final NetClient client;
   private final Map<HostPort, Peer> peers = new HashMap<>();
   private MessageHandler handler;
+  private TunnelServer tunnelServer;
   private long lastRequestId;
   private long revision;
 
@@ -84,8 +85,11 @@
             new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
   }
 
-  Future<NetServer> listen(HostPort address, MessageHandler newHandler) {
+  /** Listens for messages of other VMs and for connections that they relay through this one. */
+  Future<NetServer> listen(
+      HostPort address, MessageHandler newHandler, TunnelServer newTunnelServer) {
     handler = newHandler;
+    tunnelServer = newTunnelServer;
     return vertx
         .createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true))
         .connectHandler(this::onConnection)
@@ -257,17 +261,21 @@
     if (message instanceof PeerMessage.PermitReply reply) {
       return reply.request();
     }
+    if (message instanceof PeerMessage.TunnelEndReply reply) {
+      return reply.request();
+    }
     return message instanceof PeerMessage.RoutingStateReply reply ? reply.request() : -1;
   }
 
   private void onConnection(NetSocket socket) {
     socket.exceptionHandler(e -> socket.close());
-    socket.handler(
+    FrameReader frames =
         frameReader(
             socket,
             message -> {
               if (message instanceof PeerMessage.AllowanceRequest
                   || message instanceof PeerMessage.PermitRequest
+                  || message instanceof PeerMessage.TunnelEndRequest
                   || message instanceof PeerMessage.RoutingStateRequest) {
                 handler
                     .onRequest(message)
@@ -276,7 +284,16 @@
               } else {
                 handler.onNotification(message);
               }
-            }));
+            });
+    socket.handler(
+        firstBytes -> {
+          if (TunnelRequest.isTunnelRequest(firstBytes)) {
+            tunnelServer.accept(socket, firstBytes);
+          } else {
+            socket.handler(frames);
+            frames.handle(firstBytes);
+          }
+        });
   }
 
   private FrameReader frameReader(NetSocket socket, Consumer<PeerMessage> messages) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -42,6 +42,7 @@
   private final DepartureTracker departures;
   private final OutcomeSharing outcomeSharing;
   private final RequestPermits requestPermits;
+  private final TunnelServer tunnelServer;
   private final LongSupplier nowMs;
   private final RandomGenerator random;
   private boolean receivedPeerState;
@@ -60,6 +61,7 @@
       DepartureTracker departures,
       OutcomeSharing outcomeSharing,
       RequestPermits requestPermits,
+      TunnelServer tunnelServer,
       LongSupplier nowMs) {}
 
   PeerMessageHandler(PeerConnections peers, Dependencies dependencies, RandomGenerator random) {
@@ -75,6 +77,7 @@
     this.departures = dependencies.departures();
     this.outcomeSharing = dependencies.outcomeSharing();
     this.requestPermits = dependencies.requestPermits();
+    this.tunnelServer = dependencies.tunnelServer();
     this.nowMs = dependencies.nowMs();
     this.random = random;
   }
@@ -190,6 +193,9 @@
     if (request instanceof PeerMessage.PermitRequest permitRequest) {
       return Future.succeededFuture(requestPermits.onRequest(permitRequest));
     }
+    if (request instanceof PeerMessage.TunnelEndRequest endRequest) {
+      return Future.succeededFuture(tunnelServer.onRequest(endRequest));
+    }
     PeerMessage.RoutingStateRequest stateRequest = (PeerMessage.RoutingStateRequest) request;
     return Future.succeededFuture(stateReply(stateRequest));
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -2,23 +2,31 @@
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EndpointLoadTracker;
+import io.magnoliaroute.core.gateway.EndpointPaths;
 import io.magnoliaroute.core.gateway.ServiceSpec;
+import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.core.model.EndpointId;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NoSuchElementException;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /**
- * Tracks which endpoints accept connections from this VM. An unreachable endpoint gets no requests
- * until a probe succeeds. When an endpoint becomes unreachable, this VM also probes the other
- * endpoints of its data centre, and the other VMs probe that endpoint. Used on one event loop.
+ * Tracks which endpoints accept connections from this VM, and by which path. When the direct path
+ * to an endpoint is lost, this VM searches a relay; only an endpoint that no path reaches is
+ * unreachable and gets no requests until a probe succeeds. When an endpoint becomes unreachable,
+ * this VM also probes the other endpoints of its data centre, and the other VMs probe that
+ * endpoint. Used on one event loop.
  */
 final class ReachabilityMonitor {
 
@@ -33,23 +41,35 @@
 
   private final RoutingState routingState;
   private final EndpointLoadTracker loads;
+  private final EndpointPaths paths;
   private final EndpointConnectionPool connections;
+  private final Supplier<List<VmEntry>> relays;
   private final InstantSource clock;
   private final DecisionLog log;
   private final Map<EndpointId, Future<Boolean>> runningProbes = new HashMap<>();
   private final Map<EndpointId, Long> lastProbeMs = new HashMap<>();
   private final Map<EndpointId, Long> lastFailureMs = new HashMap<>();
+  private final Set<EndpointId> runningDirectProbes = new HashSet<>();
   private Consumer<EndpointId> listener = endpoint -> {};
 
+  /**
+   * Creates a monitor that has probed nothing yet.
+   *
+   * @param relays returns the VMs that may relay connections at present
+   */
   ReachabilityMonitor(
       RoutingState routingState,
       EndpointLoadTracker loads,
+      EndpointPaths paths,
       EndpointConnectionPool connections,
+      Supplier<List<VmEntry>> relays,
       InstantSource clock,
       DecisionLog log) {
     this.routingState = routingState;
     this.loads = loads;
+    this.paths = paths;
     this.connections = connections;
+    this.relays = relays;
     this.clock = clock;
     this.log = log;
   }
@@ -59,10 +79,74 @@
     listener = newListener;
   }
 
-  /** Marks the endpoint as unreachable; on a change, probes the others of its data centre. */
-  void markUnreachable(EndpointEntry endpoint, String cause) {
+  /**
+   * Handles a failure to connect: searches another path.
+   *
+   * @param relay the VM through which the connection should have led; empty if it was direct
+   * @return whether the endpoint is reachable by another path
+   */
+  Future<Boolean> onConnectFailure(EndpointEntry endpoint, Optional<VmEntry> relay, String cause) {
+    Future<Boolean> running = runningProbes.get(endpoint.id());
+    if (running != null) {
+      return running;
+    }
+    if (relay.isEmpty() ? paths.relay(endpoint.id()).isPresent() : !isCurrent(endpoint, relay)) {
+      return Future.succeededFuture(true);
+    }
+    return track(endpoint, () -> replacePath(endpoint, relay, cause));
+  }
+
+  /** Returns whether any path reaches the endpoint, once a search that is running has ended. */
+  Future<Boolean> awaitSearch(EndpointEntry endpoint) {
+    Future<Boolean> running = runningProbes.get(endpoint.id());
+    return running != null ? running : Future.succeededFuture(!loads.isUnreachable(endpoint.id()));
+  }
+
+  private boolean isCurrent(EndpointEntry endpoint, Optional<VmEntry> relay) {
+    return paths.relay(endpoint.id()).equals(relay);
+  }
+
+  private Future<Boolean> replacePath(
+      EndpointEntry endpoint, Optional<VmEntry> lostRelay, String cause) {
+    long nowMs = clock.millis();
+    boolean wasDirect = lostRelay.isEmpty() && paths.markDirectLost(endpoint.id(), nowMs);
+    lostRelay.ifPresent(relay -> paths.markRelayFailed(relay.vm(), endpoint.id(), nowMs));
+    connections.markPathLost(endpoint.id(), lostRelay);
+    boolean wasReachable = loads.markUnreachable(endpoint.id(), nowMs);
+    List<VmEntry> candidates = paths.relayCandidates(endpoint, relays.get(), nowMs);
+    return new RelaySearch(candidates, relay -> probeRelay(endpoint, relay))
+        .start()
+        .map(
+            found -> {
+              if (found.isEmpty()) {
+                recordUnreachable(endpoint, wasReachable, cause);
+                return false;
+              }
+              paths.useRelay(endpoint.id(), found.get());
+              markReachable(endpoint);
+              logPath(endpoint, found.get().vm().value(), cause);
+              if (wasDirect) {
+                probeConnectedEndpoints(endpoint);
+              }
+              return true;
+            });
+  }
+
+  private Future<Boolean> probeRelay(EndpointEntry endpoint, VmEntry relay) {
+    return connections
+        .probe(endpoint, Optional.of(relay), maxConnections(endpoint))
+        .otherwise(false)
+        .onSuccess(
+            accepted -> {
+              if (!accepted) {
+                paths.markRelayFailed(relay.vm(), endpoint.id(), clock.millis());
+              }
+            });
+  }
+
+  private void recordUnreachable(EndpointEntry endpoint, boolean wasReachable, String cause) {
     lastFailureMs.put(endpoint.id(), clock.millis());
-    if (!loads.markUnreachable(endpoint.id(), clock.millis())) {
+    if (!wasReachable) {
       return;
     }
     log.line("endpoint_lost")
@@ -78,20 +162,77 @@
     }
   }
 
+  // A direct path that is lost while a relay reaches the endpoint is a fault of this VM's network,
+  // which may affect its paths to all other endpoints as well.
+  private void probeConnectedEndpoints(EndpointEntry lost) {
+    for (EndpointEntry each : routingState.endpoints().entries()) {
+      if (!each.id().equals(lost.id()) && connections.isConnected(each.id())) {
+        probeUnlessRecent(each);
+      }
+    }
+  }
+
+  private void logPath(EndpointEntry endpoint, String path, String cause) {
+    log.line("endpoint_path_changed")
+        .put("endpoint", endpoint.id().value())
+        .put("path", path)
+        .put("cause", cause)
+        .write();
+  }
+
   /** Probes an endpoint that another VM reported as unreachable. */
   void onUnreachableReport(EndpointId endpoint) {
     routingState.endpoints().find(endpoint).ifPresent(this::probeUnlessRecent);
   }
 
-  /** Probes the unreachable endpoints whose backoff has elapsed. */
-  void probeUnreachable() {
+  /**
+   * Probes the unreachable endpoints and the lost direct paths whose backoff has elapsed, and
+   * replaces relays that have left.
+   */
+  void probeLostPaths() {
+    List<VmEntry> available = relays.get();
     for (EndpointEntry each : routingState.endpoints().entries()) {
+      Optional<VmEntry> relay = paths.relay(each.id());
       if (loads.isProbeDue(each.id(), clock.millis())) {
         probe(each);
+      } else if (relay.isPresent() && !available.contains(relay.get())) {
+        onConnectFailure(each, relay, "relay left");
+      } else if (paths.isDirectProbeDue(each.id(), clock.millis())) {
+        probeDirectPath(each);
       }
     }
   }
 
+  /** Removes the state of paths to endpoints that are no longer listed. */
+  void removeUnlisted() {
+    List<EndpointId> listed =
+        routingState.endpoints().entries().stream().map(EndpointEntry::id).toList();
+    paths.retain(listed, clock.millis());
+  }
+
+  private void probeDirectPath(EndpointEntry endpoint) {
+    if (!runningDirectProbes.add(endpoint.id())) {
+      return;
+    }
+    connections
+        .open(endpoint, Optional.empty(), maxConnections(endpoint))
+        .onComplete(
+            opened -> {
+              runningDirectProbes.remove(endpoint.id());
+              if (opened.failed()) {
+                paths.markDirectLost(endpoint.id(), clock.millis());
+                return;
+              }
+              connections.release(opened.result(), Optional.empty());
+              Optional<VmEntry> relay = paths.relay(endpoint.id());
+              if (paths.markDirectRestored(endpoint.id())) {
+                connections.closeIdle(endpoint.id(), relay);
+                markReachable(endpoint);
+                logPath(endpoint, "direct", "probe");
+              }
+            });
+  }
+
   /**
    * Returns whether any eligible endpoint of the service accepts connections, for a request that
    * finds all of them unreachable. Probes all endpoints that have not just failed in parallel, and
@@ -106,8 +247,9 @@
       if (!loads.isUnreachable(each.id())) {
         return Future.succeededFuture(true);
       }
-      if (clock.millis() - lastFailureMs.getOrDefault(each.id(), Long.MIN_VALUE / 2)
-          >= RECENT_FAILURE_MS) {
+      if (runningProbes.containsKey(each.id())
+          || clock.millis() - lastFailureMs.getOrDefault(each.id(), Long.MIN_VALUE / 2)
+              >= RECENT_FAILURE_MS) {
         probes.add(probe(each).map(ReachabilityMonitor::failUnlessReached));
       }
     }
@@ -123,31 +265,46 @@
     return true;
   }
 
-  /** Opens a connection, which stays in the pool, and returns whether it was accepted. */
+  /**
+   * Opens a connection, which stays in the pool, and returns whether it was accepted. If the
+   * current path fails, searches another one.
+   */
   Future<Boolean> probe(EndpointEntry endpoint) {
     Future<Boolean> running = runningProbes.get(endpoint.id());
-    if (running != null) {
-      return running;
-    }
+    return running != null ? running : track(endpoint, () -> probeCurrentPath(endpoint));
+  }
+
+  private Future<Boolean> track(EndpointEntry endpoint, Supplier<Future<Boolean>> step) {
     lastProbeMs.put(endpoint.id(), clock.millis());
     Promise<Boolean> probe = Promise.promise();
     runningProbes.put(endpoint.id(), probe.future());
-    connections
-        .probe(endpoint, maxConnections(endpoint))
-        .otherwise(false)
+    step.get()
         .onSuccess(
-            accepted -> {
+            reached -> {
               runningProbes.remove(endpoint.id());
-              if (accepted) {
-                markReachable(endpoint);
-              } else {
-                markUnreachable(endpoint, "probe");
-              }
-              probe.complete(accepted);
+              probe.complete(reached);
             });
     return probe.future();
   }
 
+  private Future<Boolean> probeCurrentPath(EndpointEntry endpoint) {
+    Optional<VmEntry> relay = paths.relay(endpoint.id());
+    return connections
+        .probe(endpoint, relay, maxConnections(endpoint))
+        .otherwise(false)
+        .compose(
+            accepted -> {
+              if (!accepted) {
+                return replacePath(endpoint, relay, "probe");
+              }
+              if (relay.isEmpty()) {
+                paths.markDirectRestored(endpoint.id());
+              }
+              markReachable(endpoint);
+              return Future.succeededFuture(true);
+            });
+  }
+
   private void markReachable(EndpointEntry endpoint) {
     if (loads.isUnreachable(endpoint.id())) {
       log.line("endpoint_regained").put("endpoint", endpoint.id().value()).write();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -29,6 +29,7 @@
   private boolean responseStarted;
   private boolean finished;
   private boolean responseFailed;
+  private boolean responseEnded;
   private long sentAtMs;
   private long lastReceivedAtMs;
   private long lastProgressAtMs;
@@ -74,6 +75,11 @@
     return connection.endpoint();
   }
 
+  /** Returns whether the path of the connection was lost after the attempt had begun. */
+  boolean isPathLost() {
+    return connection.isPathLost();
+  }
+
   long lastReceivedAtMs() {
     return lastReceivedAtMs;
   }
@@ -254,6 +260,28 @@
       return;
     }
     recordReceipt();
+    if (!responseHead.endsWithConnection()) {
+      complete();
+      return;
+    }
+    responseEnded = true;
+    gateway
+        .tunnelEnds()
+        .isClosedByEndpoint(connection)
+        .onSuccess(
+            closedByEndpoint -> {
+              if (finished) {
+                return;
+              }
+              if (closedByEndpoint) {
+                complete();
+              } else {
+                fail(AttemptFailure.BROKEN, "the relay did not confirm the end of the response");
+              }
+            });
+  }
+
+  private void complete() {
     finish();
     if (requestWritten && !responseHead.closesConnection() && !responseHead.isShuttingDown()) {
       gateway.connections().release(connection, responseHead.idleTimeoutMs());
@@ -271,7 +299,7 @@
   }
 
   private void handleConnectionFailure(String cause) {
-    if (!finished) {
+    if (!finished && !responseEnded) {
       finish();
       gateway.connections().close(connection);
       listener.onFailed(this, AttemptFailure.BROKEN, cause);
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
@@ -0,0 +1,178 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.gateway.EndpointEntry;
+import io.magnoliaroute.core.gateway.EndpointPaths;
+import io.magnoliaroute.wire.PeerMessage;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import java.time.InstantSource;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Relays connections of other VMs to endpoints that they do not reach themselves. Forwards bytes
+ * without interpreting them: the VM that accepted a request makes all decisions about it. Connects
+ * directly only, so a connection never leads through two relays. Used on one event loop.
+ */
+final class TunnelServer {
+
+  /** Bounds the sockets and buffers of tunnels, so that this VM's own clients are still served. */
+  private static final int MAX_TUNNELS = 512;
+
+  private final NetClient client;
+  private final RoutingState routingState;
+  private final EndpointPaths paths;
+  private final ReachabilityMonitor reachability;
+  private final InstantSource clock;
+  private final GatewayMetrics metrics;
+  private final Map<String, Boolean> endedTunnels =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+          return size() > MAX_TUNNELS;
+        }
+      };
+  private int openTunnels;
+  private boolean stopping;
+  private boolean closed;
+
+  TunnelServer(
+      Vertx vertx,
+      RoutingState routingState,
+      EndpointPaths paths,
+      ReachabilityMonitor reachability,
+      InstantSource clock,
+      GatewayMetrics metrics) {
+    this.routingState = routingState;
+    this.paths = paths;
+    this.reachability = reachability;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.client =
+        vertx.createNetClient(
+            new NetClientOptions()
+                .setConnectTimeout(EndpointConnectionPool.CONNECT_TIMEOUT_MS)
+                .setTcpNoDelay(true));
+  }
+
+  /** Handles a connection of another VM that begins with a tunnel request. */
+  void accept(NetSocket socket, Buffer firstBytes) {
+    Buffer received = Buffer.buffer();
+    socket.handler(bytes -> read(socket, received.appendBuffer(bytes)));
+    read(socket, received.appendBuffer(firstBytes));
+  }
+
+  /** Responds to the question of another VM how one of its tunnels has ended. */
+  PeerMessage.TunnelEndReply onRequest(PeerMessage.TunnelEndRequest request) {
+    Boolean closedByEndpoint = endedTunnels.remove(request.callerAddress());
+    return new PeerMessage.TunnelEndReply(request.request(), Boolean.TRUE.equals(closedByEndpoint));
+  }
+
+  int openTunnels() {
+    return openTunnels;
+  }
+
+  /** Refuses further tunnels; open ones remain until one of their ends closes them. */
+  void beginShutdown() {
+    stopping = true;
+  }
+
+  /** Confirms no further ends: from now on, this process closes the connections to endpoints. */
+  void close() {
+    closed = true;
+    endedTunnels.clear();
+  }
+
+  private void recordEnd(String callerAddress, boolean closedByEndpoint) {
+    if (!closed) {
+      endedTunnels.putIfAbsent(callerAddress, closedByEndpoint);
+    }
+  }
+
+  private void read(NetSocket socket, Buffer received) {
+    try {
+      Optional<TunnelRequest> request = TunnelRequest.decode(received);
+      if (request.isPresent()) {
+        socket.pause();
+        open(socket, request.get());
+      }
+    } catch (TunnelRequest.MalformedRequestException e) {
+      metrics.count("tunnels_malformed");
+      socket.close();
+    }
+  }
+
+  private void open(NetSocket socket, TunnelRequest request) {
+    Optional<EndpointEntry> endpoint =
+        routingState
+            .endpoints()
+            .find(request.endpoint())
+            .filter(entry -> entry.startedAtMs() == request.startedAtMs())
+            .filter(entry -> routingState.endpoints().maySendTo(entry, clock.millis()));
+    if (stopping
+        || openTunnels >= MAX_TUNNELS
+        || endpoint.isEmpty()
+        || !paths.isDirect(request.endpoint())) {
+      refuse(socket);
+      return;
+    }
+    openTunnels++;
+    client
+        .connect(endpoint.get().address().port(), endpoint.get().address().host())
+        .onSuccess(endpointSocket -> connect(socket, endpointSocket))
+        .onFailure(
+            e -> {
+              openTunnels--;
+              refuse(socket);
+              reachability.onConnectFailure(
+                  endpoint.get(), Optional.empty(), String.valueOf(e.getMessage()));
+            });
+  }
+
+  private void refuse(NetSocket socket) {
+    metrics.count("tunnels_refused");
+    socket.write(TunnelRequest.reply(false)).onComplete(written -> socket.close());
+  }
+
+  private void connect(NetSocket caller, NetSocket endpoint) {
+    metrics.count("tunnels_opened");
+    String callerAddress = String.valueOf(caller.remoteAddress());
+    endedTunnels.remove(callerAddress);
+    endpoint.exceptionHandler(
+        e -> {
+          recordEnd(callerAddress, false);
+          endpoint.close();
+        });
+    endpoint.endHandler(
+        ended -> {
+          recordEnd(callerAddress, true);
+          caller.end();
+        });
+    caller.closeHandler(
+        closed -> {
+          openTunnels--;
+          endpoint.close();
+        });
+    caller.write(TunnelRequest.reply(true));
+    forward(caller, endpoint);
+    forward(endpoint, caller);
+    caller.resume();
+  }
+
+  private static void forward(NetSocket from, NetSocket to) {
+    from.handler(
+        bytes -> {
+          to.write(bytes);
+          if (to.writeQueueFull()) {
+            from.pause();
+            to.drainHandler(drained -> from.resume());
+          }
+        });
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -135,7 +135,8 @@
     boolean reachable =
         Math.max(lastAcceptedMs, lastReceivedAtMs.getOrDefault(id, 0L))
             > attempt.lastReceivedAtMs();
-    boolean overdue = nowMs - attempt.lastActiveAtMs() >= DEAD_CONNECTION_THRESHOLD_MS;
+    long thresholdMs = attempt.isPathLost() ? SILENCE_THRESHOLD_MS : DEAD_CONNECTION_THRESHOLD_MS;
+    boolean overdue = nowMs - attempt.lastActiveAtMs() >= thresholdMs;
     if (!reachable || !attempt.isRetryable() || !overdue) {
       return;
     }
@@ -152,7 +153,7 @@
         .put("silent_ms", clock.millis() - attempt.lastReceivedAtMs())
         .put("cause", cause)
         .write();
-    attempt.fail(AttemptFailure.BROKEN, cause);
+    attempt.fail(attempt.isPathLost() ? AttemptFailure.PATH_LOST : AttemptFailure.BROKEN, cause);
   }
 
   // A stream that waits for a slot, or whose engine is slow, receives as little as a stream on a
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointLink.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointLink.java
@@ -3,7 +3,6 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -20,8 +19,8 @@
   private final int endpointPort;
   private final int port;
   private final List<Socket> connections = Collections.synchronizedList(new ArrayList<>());
-  private final List<Socket> fillers = new ArrayList<>();
   private final AtomicInteger openConnections = new AtomicInteger();
+  private SilentListener silentListener;
   private ServerSocket listener;
   private Thread acceptor;
   private boolean silent;
@@ -77,7 +76,7 @@
 
   synchronized void restore() throws IOException {
     closeListener();
-    listener = listenOnPort(BACKLOG);
+    listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
     acceptor = acceptOn(listener);
     setSilent(false);
   }
@@ -87,20 +86,9 @@
     notifyAll();
   }
 
-  // Once the accept queue of a listener is full, connection attempts get no response.
   private void ignoreNewConnections() throws IOException {
     closeListener();
-    listener = listenOnPort(1);
-    for (int i = 0; i < 2; i++) {
-      fillers.add(new Socket(listener.getInetAddress(), port));
-    }
-  }
-
-  private ServerSocket listenOnPort(int backlog) throws IOException {
-    ServerSocket socket = new ServerSocket();
-    socket.setReuseAddress(true);
-    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
-    return socket;
+    silentListener = new SilentListener(port);
   }
 
   private synchronized void resetConnections() throws IOException {
@@ -121,10 +109,10 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    for (Socket each : fillers) {
-      each.close();
+    if (silentListener != null) {
+      silentListener.close();
+      silentListener = null;
     }
-    fillers.clear();
   }
 
   private Thread acceptOn(ServerSocket server) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -22,9 +22,6 @@
 import io.vertx.core.http.RequestOptions;
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -206,13 +203,21 @@
     return endpoint;
   }
 
+  /** Replaces the endpoints of both VMs by one that responds as the script defines. */
+  RawEndpoint startScriptedEndpoint(VmLinks links, RawEndpoint.Script script, boolean resets)
+      throws IOException {
+    RawEndpoint endpoint = new RawEndpoint(vertx, script, resets);
+    links.replaceEndpoints(Await.result(endpoint.start()));
+    awaitUsableEndpoints(1);
+    Await.until("both VMs use the endpoint", () -> usableEndpointsAtSecondVm() == 1);
+    return endpoint;
+  }
+
   /** Sends requests concurrently and returns their status codes; 0 if a connection was closed. */
   List<Integer> sendConcurrently(int count, String method, String path) {
     List<Future<Response>> all = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      Map<String, String> headers =
-          new HashMap<>(Map.of("X-Request-Id", String.valueOf(++lastRequestId), "Host", "h"));
-      all.add(send(vm.clientPort(), HttpMethod.valueOf(method), path, headers));
+      all.add(begin(method, path));
     }
     List<Integer> statuses = new ArrayList<>();
     for (Future<Response> each : all) {
@@ -225,16 +230,10 @@
   void listUnreachableEndpoints(int count) throws IOException {
     removeEndpoints();
     for (int i = 0; i < count; i++) {
-      // Once the accept queue of a listener is full, connection attempts get no response.
-      ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      SilentListener listener = new SilentListener(0);
       sockets.add(listener);
-      for (int connection = 0; connection < 2; connection++) {
-        sockets.add(new Socket(listener.getInetAddress(), listener.getLocalPort()));
-      }
       store.put(
-          "keyed.servers",
-          "cut" + i,
-          StandinEndpoint.entryAt(listener.getLocalPort(), "s", "ready", 1));
+          "keyed.servers", "cut" + i, StandinEndpoint.entryAt(listener.port(), "s", "ready", 1));
     }
     awaitUsableEndpoints(count);
   }
@@ -287,9 +286,7 @@
   }
 
   Response callSecondVm(String path) {
-    Map<String, String> headers =
-        new HashMap<>(Map.of("X-Request-Id", String.valueOf(++lastRequestId), "Host", "h"));
-    return Await.result(send(secondVm.clientPort(), HttpMethod.GET, path, headers));
+    return Await.result(send(secondVm.clientPort(), HttpMethod.GET, path, nextHeaders()));
   }
 
   private static Map<String, String> turnHeaders(String program, long budget, long maxTokens) {
@@ -324,15 +321,11 @@
   }
 
   int readyStatus() {
-    return status(vm.readyPort());
+    return Await.result(send(vm.readyPort(), HttpMethod.GET, "/-/ready", Map.of())).status();
   }
 
   int secondReadyStatus() {
-    return status(secondVm.readyPort());
-  }
-
-  private int status(int port) {
-    return Await.result(send(port, HttpMethod.GET, "/-/ready", Map.of())).status();
+    return Await.result(send(secondVm.readyPort(), HttpMethod.GET, "/-/ready", Map.of())).status();
   }
 
   void restartVm() {
@@ -371,8 +364,9 @@
     VmLinks.registerVm(secondStore, "vm-1", vm.peerPort());
     secondVm = startVm(secondVertx, Await.result(secondStore.start()), "vm-2", "dc", List.of());
     VmLinks.registerVm(store, "vm-2", secondVm.peerPort());
-    Await.until("the second VM is ready", () -> secondReadyStatus() == 200);
     Await.until("both VMs know each other", () -> vm.knownVms() == 2 && secondVm.knownVms() == 2);
+    Await.until("no VM awaits a peer's view", () -> !vm.isStarting() && !secondVm.isStarting());
+    links.connect();
     Await.until(
         "the first VM uses its links",
         () -> call("GET", "/safe/x", Map.of()).status() == 200 && links.openConnections() > 0);
@@ -384,6 +378,21 @@
     Await.result(vmVertx.close());
   }
 
+  void killSecondVm() {
+    Promise<Void> stopped = Promise.promise();
+    secondVertx.runOnContext(run -> secondVm.completeStop(stopped));
+    Await.result(stopped.future().compose(ended -> secondVertx.close()));
+  }
+
+  /** Sends a request without waiting for its response. */
+  Future<Response> begin(String method, String path) {
+    return send(vm.clientPort(), HttpMethod.valueOf(method), path, nextHeaders());
+  }
+
+  private Map<String, String> nextHeaders() {
+    return Map.of("X-Request-Id", String.valueOf(++lastRequestId), "Host", "h");
+  }
+
   /** Sends one turn of each program to the second VM and returns the status codes. */
   List<Integer> sendTurnsToSecondVm(int programs, long budget, long maxTokens) {
     List<Integer> statuses = new ArrayList<>();
@@ -465,8 +474,7 @@
     long intervalMs = 1_000 / requestsPerS;
     for (int i = 0; i < durationMs / intervalMs; i++) {
       GatewayNode target = i % 2 == 0 || secondVm == null ? vm : secondVm;
-      Map<String, String> headers =
-          Map.of("X-Request-Id", String.valueOf(++lastRequestId), "Host", "h");
+      Map<String, String> headers = nextHeaders();
       sent.add(
           vertx
               .timer(Math.max(1, i * intervalMs), TimeUnit.MILLISECONDS)
@@ -500,10 +508,7 @@
     List<Integer> statuses = new ArrayList<>();
     while (!stopped.isComplete()) {
       for (int i = 0; i < clients; i++) {
-        Map<String, String> headers =
-            new HashMap<>(Map.of("X-Request-Id", String.valueOf(++lastRequestId), "Host", "h"));
-        String path = i % 2 == 0 ? "/unsafe/x" : "/stream/x";
-        open.add(send(vm.clientPort(), HttpMethod.POST, path, headers));
+        open.add(begin("POST", i % 2 == 0 ? "/unsafe/x" : "/stream/x"));
       }
       open.forEach(each -> statuses.add(Await.result(each).status()));
       open.clear();
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/VmLinks.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/VmLinks.java
@@ -16,27 +16,51 @@
 
   private final List<EndpointLink> links = new ArrayList<>();
 
-  private VmLinks() {}
+  private final List<StandinEndpoint> endpoints;
+  private final StandinStore store;
+  private final StandinStore storeOfOthers;
 
-  /**
-   * Creates the paths and lists them in the VM's store, with a higher sequence number than before.
-   * Lists the endpoints themselves in the store of the other VMs, with the same number of records,
-   * so that neither view counts as newer.
-   */
+  private VmLinks(List<StandinEndpoint> endpoints, StandinStore store, StandinStore storeOfOthers) {
+    this.endpoints = endpoints;
+    this.store = store;
+    this.storeOfOthers = storeOfOthers;
+  }
+
+  /** Copies the configuration and the endpoints to the store of the other VMs. */
   static VmLinks create(
-      List<StandinEndpoint> endpoints, StandinStore store, StandinStore storeOfOthers)
-      throws IOException {
-    VmLinks all = new VmLinks();
+      List<StandinEndpoint> endpoints, StandinStore store, StandinStore storeOfOthers) {
+    VmLinks links = new VmLinks(endpoints, store, storeOfOthers);
     storeOfOthers.put("keyed.op", "config", StandinConfiguration.json(3, "/other/"));
+    for (StandinEndpoint endpoint : endpoints) {
+      storeOfOthers.put("keyed.servers", endpoint.id(), endpoint.entry("s", "ready", 1));
+    }
+    return links;
+  }
+
+  /**
+   * Lists the paths instead of the endpoints in the VM's store. VMs that are starting copy the view
+   * of a peer that has read more records, so this is called after the start of all VMs.
+   */
+  void connect() throws IOException {
     for (StandinEndpoint endpoint : endpoints) {
       EndpointLink link = new EndpointLink(endpoint.port());
-      all.links.add(link);
-      String id = "e" + all.links.size();
-      store.put("keyed.servers", id, StandinEndpoint.entryAt(link.port(), "s", "ready", 2));
-      storeOfOthers.put("keyed.servers", id, endpoint.entry("s", "ready", 1));
-      storeOfOthers.put("keyed.servers", id, endpoint.entry("s", "ready", 2));
+      links.add(link);
+      String entry = StandinEndpoint.entryAt(link.port(), "s", "ready", 2);
+      store.put("keyed.servers", endpoint.id(), entry);
+      storeOfOthers.put("keyed.servers", endpoint.id(), endpoint.entry("s", "ready", 2));
+    }
+  }
+
+  /** Replaces the listed endpoints by one that listens on the given port. */
+  void replaceEndpoints(int port) throws IOException {
+    for (StandinEndpoint endpoint : endpoints) {
+      store.put("keyed.servers", endpoint.id(), "");
+      storeOfOthers.put("keyed.servers", endpoint.id(), "");
     }
-    return all;
+    EndpointLink link = new EndpointLink(port);
+    links.add(link);
+    store.put("keyed.servers", "raw", StandinEndpoint.entryAt(link.port(), "s", "ready", 1));
+    storeOfOthers.put("keyed.servers", "raw", StandinEndpoint.entryAt(port, "s", "ready", 1));
   }
 
   /** Registers a VM in a store that is not its own. */
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -111,6 +111,11 @@
     return server.close();
   }
 
+  /** Returns the id of the endpoint. */
+  public String id() {
+    return id;
+  }
+
   /** Returns the port that the endpoint listens on. */
   public int port() {
     return port;
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
@@ -43,7 +43,9 @@
   OUTCOME_SUMMARY(51, PeerMessage.OutcomeSummary.class),
   PERMIT_REQUEST(52, PeerMessage.PermitRequest.class),
   PERMIT_REPLY(53, PeerMessage.PermitReply.class),
-  REQUEST_LIMIT(54, PeerMessage.RequestLimitNote.class);
+  REQUEST_LIMIT(54, PeerMessage.RequestLimitNote.class),
+  TUNNEL_END_REQUEST(55, PeerMessage.TunnelEndRequest.class),
+  TUNNEL_END_REPLY(56, PeerMessage.TunnelEndReply.class);
 
   private static final Map<Integer, MessageType> BY_NUMBER =
       Stream.of(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -258,6 +258,24 @@
   record RequestLimitNote(String endpoint, long startedAtMs, boolean limited, double requestsPerS)
       implements PeerMessage {}
 
+  /**
+   * Asks a relay how a tunnel has ended, before a response is considered complete that ends with
+   * its connection.
+   *
+   * @param request the request number that matches the response; unique for the connection
+   * @param callerAddress the local address of the tunnel at the sender
+   */
+  record TunnelEndRequest(long request, String callerAddress) implements PeerMessage {}
+
+  /**
+   * Responds to {@link TunnelEndRequest}.
+   *
+   * @param request the number of the request
+   * @param closedByEndpoint whether the endpoint closed its connection without an error; false if
+   *     the relay does not know the tunnel
+   */
+  record TunnelEndReply(long request, boolean closedByEndpoint) implements PeerMessage {}
+
   /**
    * Requests the receiver's routing state: the configuration, the endpoints and the VMs.
    *
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -61,6 +61,8 @@
             1, new PeerMessage.RequestLimitNote("e1", 5, true, 8.25), 200),
         new PeerMessage.PermitReply(1, true, 20),
         new PeerMessage.RequestLimitNote("e1", 5, false, 0),
+        new PeerMessage.TunnelEndRequest(1, "10.0.0.1:4711"),
+        new PeerMessage.TunnelEndReply(1, true),
         new PeerMessage.RoutingStateRequest(1, 7),
         new PeerMessage.RoutingStateReply(
             1,
