Treat a stream that ends inside an event as broken off

Callers could get a truncated stream as a complete one: an answer with neither a length nor chunks ends with its connection, and when that came inside an event the VM forwarded the fragment and ended the response.

A stream whose last event is incomplete now counts as broken off: it is resumed after its last whole event if its route allows it, and otherwise ends without its last chunk. ResponseEndTest.streamEndsInsideEvent and streamIsResumed failed before ('nothing was thrown'; the fragment in the body). Its other five cases passed before: such answers whole, reset, closed inside the head, ended between events. Through a relay: PartitionedVmTest.responseThatEndsWithItsConnectionIsComplete, responseOfDeadRelayIsNotComplete.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EventStreamSplitter.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EventStreamSplitter.java
@@ -44,20 +44,13 @@
     return pending.length();
   }
 
-  /** Removes and returns the buffered bytes after the last complete event. */
-  Buffer drainRemainder() {
-    Buffer rest = pending;
-    pending = Buffer.buffer();
-    scanned = 0;
-    return rest;
-  }
-
   /**
    * Prepares for bytes from a new attempt: discards an incomplete event, and skips the events that
    * the new attempt repeats.
    */
   void prepareResume() {
-    drainRemainder();
+    pending = Buffer.buffer();
+    scanned = 0;
     skippingRepeated = true;
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -225,6 +225,10 @@
 
   @Override
   public void onCompleted(RequestAttempt attempt) {
+    if (response.isStarted() && eventSplitter.hasPartialEvent()) {
+      onFailed(attempt, AttemptFailure.BROKEN, "stream ended inside an event");
+      return;
+    }
     currentAttempt = null;
     gateway
         .loads()
@@ -234,9 +238,6 @@
     if (!response.isStarted()) {
       response.writeComplete(responseHead, responseHeaders, bufferedBody);
     } else {
-      if (eventSplitter.hasPartialEvent()) {
-        response.write(eventSplitter.drainRemainder());
-      }
       response.end();
     }
     finish("answered", responseHead.status());
