End a broken stream if its successor responds with anything but events

Report of another operator: clients found an error's text in the middle of their stream. Here it could happen in one of four cases tried: a stream breaks off, the next endpoint answers 200 with a body that is no event stream, and its text was forwarded as an event and the response ended as complete. An error status, a refusal with a body and an error that ends with its connection were not forwarded before either.

A resumed stream now goes on only with an event stream; otherwise the client's response ends without its last chunk. A first response of a stream's route that is no event stream is forwarded whole, with its length. ResumedStreamErrorTest, case SUCCESS_WITHOUT_EVENTS, failed before (the text was in the stream); the other three passed.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -172,7 +172,7 @@
       return;
     }
     if (response.isStarted()) {
-      if (!head.isSuccess()) {
+      if (!head.isSuccess() || !head.isEventStream()) {
         attempt.cancel();
         finish("resume_refused", head.status());
       }
@@ -180,7 +180,7 @@
     }
     responseHead = head;
     responseHeaders = headers;
-    if (isStream() && head.isSuccess()) {
+    if (isStream() && head.isSuccess() && head.isEventStream()) {
       response.start(head, headers);
     }
   }
