--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelRequest.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelRequest.java
@@ -7,8 +7,6 @@
 import io.vertx.core.net.ProxyOptions;
 import io.vertx.core.net.ProxyType;
 import io.vertx.core.net.SocketAddress;
-import java.net.URLDecoder;
-import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
@@ -51,9 +49,8 @@
 
   /** Returns the address that names the endpoint in a request to a relay. */
   static SocketAddress address(EndpointEntry endpoint) {
-    String id = URLEncoder.encode(endpoint.id().value(), StandardCharsets.UTF_8);
     return SocketAddress.inetSocketAddress(
-        endpoint.address().port(), id + "." + endpoint.startedAtMs());
+        endpoint.address().port(), endpoint.id() + "." + endpoint.startedAtMs());
   }
 
   /** Returns the client options for connections through the relay. */
@@ -88,8 +85,8 @@
       throw new MalformedRequestException("tunnel request names no endpoint");
     }
     try {
-      String id = URLDecoder.decode(line.group(1), StandardCharsets.UTF_8);
-      return Optional.of(new TunnelRequest(new EndpointId(id), Long.parseLong(line.group(2))));
+      EndpointId endpoint = new EndpointId(line.group(1));
+      return Optional.of(new TunnelRequest(endpoint, Long.parseLong(line.group(2))));
     } catch (IllegalArgumentException e) {
       throw new MalformedRequestException("tunnel request names no endpoint: " + e.getMessage());
     }
