Reject odd entries in the endpoint list

Report of another operator: one odd entry of another writer made VMs end or stop following the list. Neither could be shown here: deep nesting, numbers of 2,000 digits and ports out of range are rejected, and the others of the page apply (MalformedInputTest passed before).

An unexpected error in one record no longer drops the rest of its page.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
@@ -70,8 +70,8 @@
       if (routingState.applyTableIfNewer(table, value)) {
         log.line("config_applied").put("version", table.version()).put("source", source).write();
       }
-    } catch (PlatformFormatException e) {
-      logMalformed(StoreClient.OPERATOR_TOPIC, e.getMessage());
+    } catch (PlatformFormatException | RuntimeException e) {
+      logMalformed(StoreClient.OPERATOR_TOPIC, String.valueOf(e.getMessage()));
     }
   }
 
@@ -156,7 +156,8 @@
     try {
       return Optional.of(
           EndpointEntryDecoder.decode(record.key(), record.value().orElseThrow().toArray()));
-    } catch (PlatformFormatException e) {
+    } catch (PlatformFormatException | RuntimeException e) {
+      // One record must not keep the others of its page from being applied.
       logMalformed(StoreClient.ENDPOINT_TOPIC, e.getMessage() + " at offset " + record.offset());
       return Optional.empty();
     }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/MalformedInputTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/MalformedInputTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.magnoliaroute.standin.users.StandinEndpoint;
 import io.magnoliaroute.wire.PeerMessage;
 import java.io.IOException;
 import java.util.List;
@@ -42,6 +43,11 @@
   void malformedStoreRecord() {
     environment.store().put("keyed.servers", "", "{}");
     environment.store().put("keyed.servers", "bad", "[1");
+    environment.store().put("keyed.servers", "nested", "[".repeat(100_000));
+    environment
+        .store()
+        .put("keyed.servers", "port", StandinEndpoint.entryAt(65_536, "s", "ready", 1));
+    environment.store().put("keyed.servers", "e1", "{\"seq\":" + "9".repeat(2_000) + "}");
     environment.startThirdEndpoint();
 
     assertEquals(200, environment.call("GET", "/safe/x", Map.of()).status());
