Wait for an endpoint that pauses before a stream goes on elsewhere

A sound engine may fall silent for a second and go on. A stream whose endpoint sent nothing for 250 ms and then accepted no connection within 250 ms was resumed elsewhere after about 0.6 s, while the paused engine went on with it too; with one endpoint left, the client's stream was cut.

Such a stream now waits 1.5 s for its endpoint, unless the endpoint refuses connections, another endpoint of its data centre is unreachable too (a partition), or another path reaches it. New requests avoid the endpoint at once, as before; idempotent requests are sent elsewhere as before. SilentEndpointTest stops an endpoint from reading, writing and accepting: streams over 1,000 and 1,300 ms failed before ('Connection was closed'); a stream over 500 ms and non-idempotent requests over 500 to 1,500 ms passed before.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -151,20 +151,22 @@
   }
 
   /**
-   * Returns whether the endpoint accepts connections. Opens a connection, which then stays in the
-   * pool. An endpoint whose share of connections is in use counts as reachable.
+   * Probes whether the endpoint accepts connections; fails if it does not. Opens a connection,
+   * which then stays in the pool. An endpoint whose share of connections is in use counts as
+   * reachable.
    *
    * @param relay the VM through which the connection leads; empty for a direct connection
    * @param maxConnections the number of connections that the endpoint accepts from all VMs
    */
-  Future<Boolean> probe(EndpointEntry endpoint, Optional<VmEntry> relay, int maxConnections) {
+  Future<Void> probe(EndpointEntry endpoint, Optional<VmEntry> relay, int maxConnections) {
     return open(endpoint, relay, maxConnections)
-        .map(
-            connection -> {
-              release(connection, Optional.empty());
-              return true;
-            })
-        .recover(e -> Future.succeededFuture(e instanceof ConnectionLimitReachedException));
+        .onSuccess(connection -> release(connection, Optional.empty()))
+        .<Void>mapEmpty()
+        .recover(
+            e ->
+                e instanceof ConnectionLimitReachedException
+                    ? Future.succeededFuture()
+                    : Future.failedFuture(e));
   }
 
   /** Returns a connection to the pool for reuse. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnector.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnector.java
@@ -43,10 +43,7 @@
 
   private Future<EndpointConnection> openOnOtherPath(
       EndpointEntry endpoint, Optional<VmEntry> failedRelay, Throwable cause) {
-    Future<Boolean> search =
-        gateway
-            .reachability()
-            .onConnectFailure(endpoint, failedRelay, String.valueOf(cause.getMessage()));
+    Future<Boolean> search = gateway.reachability().onConnectFailure(endpoint, failedRelay, cause);
     Promise<Boolean> found = Promise.promise();
     long timer = gateway.vertx().setTimer(PATH_SEARCH_WAIT_MS, fired -> found.tryComplete(false));
     search.onSuccess(found::tryComplete);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -279,6 +279,16 @@
         return reachability.probe(endpoint);
       }
 
+      @Override
+      public boolean isUnreachable(EndpointEntry endpoint) {
+        return reachability.isUnreachable(endpoint);
+      }
+
+      @Override
+      public boolean mayBePaused(EndpointEntry endpoint) {
+        return reachability.mayBePaused(endpoint);
+      }
+
       @Override
       public Future<Optional<EngineReport>> fetchReport(EndpointEntry endpoint) {
         return requestPermits
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -6,6 +6,7 @@
 import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.core.model.EndpointId;
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.InstantSource;
@@ -50,6 +51,7 @@
   private final Map<EndpointId, Long> lastProbeMs = new HashMap<>();
   private final Map<EndpointId, Long> lastFailureMs = new HashMap<>();
   private final Set<EndpointId> runningDirectProbes = new HashSet<>();
+  private final Set<EndpointId> refusing = new HashSet<>();
   private Consumer<EndpointId> listener = endpoint -> {};
 
   /**
@@ -85,7 +87,8 @@
    * @param relay the VM through which the connection should have led; empty if it was direct
    * @return whether the endpoint is reachable by another path
    */
-  Future<Boolean> onConnectFailure(EndpointEntry endpoint, Optional<VmEntry> relay, String cause) {
+  Future<Boolean> onConnectFailure(
+      EndpointEntry endpoint, Optional<VmEntry> relay, Throwable cause) {
     Future<Boolean> running = runningProbes.get(endpoint.id());
     if (running != null) {
       return running;
@@ -102,13 +105,38 @@
     return running != null ? running : Future.succeededFuture(!loads.isUnreachable(endpoint.id()));
   }
 
+  boolean isUnreachable(EndpointEntry endpoint) {
+    return loads.isUnreachable(endpoint.id());
+  }
+
+  /**
+   * Returns whether an unreachable endpoint may be sound and respond again soon: it does not refuse
+   * connections, and no other endpoint of its data centre is unreachable as in a partition.
+   */
+  boolean mayBePaused(EndpointEntry endpoint) {
+    if (refusing.contains(endpoint.id())) {
+      return false;
+    }
+    for (EndpointEntry each : routingState.endpoints().entries()) {
+      if (each.dataCentre().equals(endpoint.dataCentre())
+          && !each.id().equals(endpoint.id())
+          && loads.isUnreachable(each.id())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private boolean isCurrent(EndpointEntry endpoint, Optional<VmEntry> relay) {
     return paths.relay(endpoint.id()).equals(relay);
   }
 
   private Future<Boolean> replacePath(
-      EndpointEntry endpoint, Optional<VmEntry> lostRelay, String cause) {
+      EndpointEntry endpoint, Optional<VmEntry> lostRelay, Throwable cause) {
     long nowMs = clock.millis();
+    if (lostRelay.isEmpty() && !(cause instanceof ConnectTimeoutException)) {
+      refusing.add(endpoint.id());
+    }
     boolean wasDirect = lostRelay.isEmpty() && paths.markDirectLost(endpoint.id(), nowMs);
     lostRelay.ifPresent(relay -> paths.markRelayFailed(relay.vm(), endpoint.id(), nowMs));
     connections.markPathLost(endpoint.id(), lostRelay);
@@ -119,12 +147,12 @@
         .map(
             found -> {
               if (found.isEmpty()) {
-                recordUnreachable(endpoint, wasReachable, cause);
+                recordUnreachable(endpoint, wasReachable, cause.getMessage());
                 return false;
               }
               paths.useRelay(endpoint.id(), found.get());
               markReachable(endpoint);
-              logPath(endpoint, found.get().vm().value(), cause);
+              logPath(endpoint, found.get().vm().value(), cause.getMessage());
               if (wasDirect) {
                 probeConnectedEndpoints(endpoint);
               }
@@ -135,7 +163,7 @@
   private Future<Boolean> probeRelay(EndpointEntry endpoint, VmEntry relay) {
     return connections
         .probe(endpoint, Optional.of(relay), maxConnections(endpoint))
-        .otherwise(false)
+        .transform(done -> Future.succeededFuture(done.succeeded()))
         .onSuccess(
             accepted -> {
               if (!accepted) {
@@ -152,7 +180,7 @@
     log.line("endpoint_lost")
         .put("endpoint", endpoint.id().value())
         .put("data_centre", endpoint.dataCentre())
-        .put("cause", cause)
+        .put("cause", String.valueOf(cause))
         .write();
     listener.accept(endpoint.id());
     for (EndpointEntry each : routingState.endpoints().entries()) {
@@ -176,7 +204,7 @@
     log.line("endpoint_path_changed")
         .put("endpoint", endpoint.id().value())
         .put("path", path)
-        .put("cause", cause)
+        .put("cause", String.valueOf(cause))
         .write();
   }
 
@@ -196,7 +224,7 @@
       if (loads.isProbeDue(each.id(), clock.millis())) {
         probe(each);
       } else if (relay.isPresent() && !available.contains(relay.get())) {
-        onConnectFailure(each, relay, "relay left");
+        onConnectFailure(each, relay, new NoSuchElementException("relay left"));
       } else if (paths.isDirectProbeDue(each.id(), clock.millis())) {
         probeDirectPath(each);
       }
@@ -291,11 +319,10 @@
     Optional<VmEntry> relay = paths.relay(endpoint.id());
     return connections
         .probe(endpoint, relay, maxConnections(endpoint))
-        .otherwise(false)
-        .compose(
-            accepted -> {
-              if (!accepted) {
-                return replacePath(endpoint, relay, "probe");
+        .transform(
+            done -> {
+              if (done.failed()) {
+                return replacePath(endpoint, relay, done.cause());
               }
               if (relay.isEmpty()) {
                 paths.markDirectRestored(endpoint.id());
@@ -310,6 +337,7 @@
       log.line("endpoint_regained").put("endpoint", endpoint.id().value()).write();
     }
     loads.markReachable(endpoint.id());
+    refusing.remove(endpoint.id());
   }
 
   private void probeUnlessRecent(EndpointEntry endpoint) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
@@ -130,8 +130,7 @@
             e -> {
               openTunnels--;
               refuse(socket);
-              reachability.onConnectFailure(
-                  endpoint.get(), Optional.empty(), String.valueOf(e.getMessage()));
+              reachability.onConnectFailure(endpoint.get(), Optional.empty(), e);
             });
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -36,6 +36,12 @@
    */
   static final long DEAD_CONNECTION_THRESHOLD_MS = 1_300;
 
+  /**
+   * Time without received bytes after which a stream is resumed elsewhere if its endpoint accepts
+   * no connections either; a sound endpoint may pause for a second.
+   */
+  static final long MAX_PAUSE_MS = 1_500;
+
   /**
    * Time after which a stream counts as stalled if the endpoint sends bytes but does not complete
    * an event. A healthy endpoint that is slow sends nothing between its events.
@@ -64,6 +70,12 @@
     /** Opens a connection and returns whether the endpoint accepted it. */
     Future<Boolean> probe(EndpointEntry endpoint);
 
+    /** Returns whether no path reaches the endpoint. */
+    boolean isUnreachable(EndpointEntry endpoint);
+
+    /** Returns whether an unreachable endpoint may be sound and respond again soon. */
+    boolean mayBePaused(EndpointEntry endpoint);
+
     /**
      * Fetches a model engine's report of its running requests; empty if the engine's request limit
      * does not allow it at present.
@@ -127,6 +139,9 @@
 
   private void handleSilence(RequestAttempt attempt, long nowMs) {
     EndpointId id = attempt.endpoint().id();
+    if (prober.isUnreachable(attempt.endpoint()) && failIfLost(attempt, nowMs)) {
+      return;
+    }
     long lastAcceptedMs = lastAcceptedAtMs.getOrDefault(id, Long.MIN_VALUE / 2);
     if (nowMs - lastAcceptedMs >= SILENCE_THRESHOLD_MS
         && nowMs - lastReceivedAtMs.getOrDefault(id, attempt.sentAtMs()) >= SILENCE_THRESHOLD_MS) {
@@ -214,11 +229,19 @@
         .put("endpoint", endpoint.id().value())
         .put("requests", silentAttempts.size())
         .write();
-    for (RequestAttempt attempt : silentAttempts) {
-      if (attempt.isRetryable()) {
-        attempt.fail(
-            AttemptFailure.UNREACHABLE, "endpoint sends no bytes and accepts no connection");
-      }
+    silentAttempts.forEach(attempt -> failIfLost(attempt, clock.millis()));
+  }
+
+  // A paused endpoint goes on with a stream by itself, beside the one that resumed it.
+  private boolean failIfLost(RequestAttempt attempt, long nowMs) {
+    boolean awaitsEndpoint =
+        attempt.isStream()
+            && nowMs - attempt.lastReceivedAtMs() < MAX_PAUSE_MS
+            && prober.mayBePaused(attempt.endpoint());
+    if (!attempt.isRetryable() || awaitsEndpoint) {
+      return false;
     }
+    attempt.fail(AttemptFailure.UNREACHABLE, "endpoint sends no bytes and accepts no connection");
+    return true;
   }
 }
