Close tunnels that nobody uses, and count each one until its VM has closed it

By reading: a VM that gave up a tunnel request while its relay was still connecting left the tunnel counted for ever, as the relay set its close handler afterwards, and a VM that lost power left its tunnels open. 512 of them would have ended relaying, and each would have held up a planned stop to its limit. The close handler is set first now, and a tunnel without bytes for two minutes is closed. No test shows the leak.

--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -76,6 +76,17 @@
     }
   }
 
+  @Test
+  @DisplayName("prefers an endpoint that it reaches directly to one behind another VM")
+  void directPath() {
+    HostPort address = new HostPort("10.0.0.7", 80);
+    paths.markDirectLost(first.id(), 0);
+    paths.useRelay(first.id(), new VmEntry(new VmId("relay"), address, "there"));
+    for (int i = 0; i < 20; i++) {
+      assertEquals(second, selector.select("s", request("r" + i), Set.of(), 0).orElseThrow());
+    }
+  }
+
   @Test
   @DisplayName("avoids an endpoint without free slots")
   void full() {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -361,6 +361,7 @@
 
   private void runMaintenance() {
     runTask("close idle endpoint connections", gateway.connections()::closeExpired);
+    runTask("close idle tunnels", tunnelServer::closeIdle);
     runTask("remove unlisted endpoints", gateway.reachability()::removeUnlisted);
     runTask("maintain budgets", allowances::maintain);
     runTask("maintain versions", serviceVersionLog::maintain);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -194,7 +194,9 @@
   // which may affect its paths to all other endpoints as well.
   private void probeConnectedEndpoints(EndpointEntry lost) {
     for (EndpointEntry each : routingState.endpoints().entries()) {
-      if (!each.id().equals(lost.id()) && connections.isConnected(each.id())) {
+      if (!each.id().equals(lost.id())
+          && paths.isDirect(each.id())
+          && connections.isConnected(each.id())) {
         probeUnlessRecent(each);
       }
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
@@ -10,8 +10,11 @@
 import io.vertx.core.net.NetSocket;
 import java.time.InstantSource;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Relays connections of other VMs to endpoints that they do not reach themselves. Forwards bytes
@@ -23,6 +26,9 @@
   /** Bounds the sockets and buffers of tunnels, so that this VM's own clients are still served. */
   private static final int MAX_TUNNELS = 512;
 
+  /** Time without bytes after which a tunnel is closed; longer than any request may wait. */
+  private static final long MAX_IDLE_MS = 120_000;
+
   private final NetClient client;
   private final RoutingState routingState;
   private final EndpointPaths paths;
@@ -38,7 +44,7 @@
           return size() > MAX_TUNNELS;
         }
       };
-  private int openTunnels;
+  private final Set<Tunnel> tunnels = new LinkedHashSet<>();
   private boolean stopping;
   private boolean closed;
 
@@ -75,7 +81,17 @@
   }
 
   int openTunnels() {
-    return openTunnels;
+    return tunnels.size();
+  }
+
+  /** Closes tunnels that have transported nothing for long, as after a loss of their VM. */
+  void closeIdle() {
+    long nowMs = clock.millis();
+    for (Tunnel each : List.copyOf(tunnels)) {
+      if (nowMs - each.lastActiveAtMs >= MAX_IDLE_MS) {
+        each.caller.close();
+      }
+    }
   }
 
   /** Refuses further tunnels; open ones remain until one of their ends closes them. */
@@ -116,19 +132,18 @@
             .filter(entry -> entry.startedAtMs() == request.startedAtMs())
             .filter(entry -> routingState.endpoints().maySendTo(entry, clock.millis()));
     if (stopping
-        || openTunnels >= MAX_TUNNELS
+        || tunnels.size() >= MAX_TUNNELS
         || endpoint.isEmpty()
         || !paths.isDirect(request.endpoint())) {
       refuse(socket);
       return;
     }
-    openTunnels++;
+    Tunnel tunnel = new Tunnel(socket);
     client
         .connect(endpoint.get().address().port(), endpoint.get().address().host())
-        .onSuccess(endpointSocket -> connect(socket, endpointSocket))
+        .onSuccess(tunnel::connect)
         .onFailure(
             e -> {
-              openTunnels--;
               refuse(socket);
               reachability.onConnectFailure(endpoint.get(), Optional.empty(), e);
             });
@@ -139,39 +154,65 @@
     socket.write(TunnelRequest.reply(false)).onComplete(written -> socket.close());
   }
 
-  private void connect(NetSocket caller, NetSocket endpoint) {
-    metrics.count("tunnels_opened");
-    String callerAddress = String.valueOf(caller.remoteAddress());
-    endedTunnels.remove(callerAddress);
-    endpoint.exceptionHandler(
-        e -> {
-          recordEnd(callerAddress, false);
-          endpoint.close();
-        });
-    endpoint.endHandler(
-        ended -> {
-          recordEnd(callerAddress, true);
-          caller.end();
-        });
-    caller.closeHandler(
-        closed -> {
-          openTunnels--;
-          endpoint.close();
-        });
-    caller.write(TunnelRequest.reply(true));
-    forward(caller, endpoint);
-    forward(endpoint, caller);
-    caller.resume();
-  }
+  /** A connection of another VM and, once it is established, the one to the endpoint. */
+  private final class Tunnel {
+
+    private final NetSocket caller;
+    private final String callerAddress;
+    private NetSocket endpoint;
+    private long lastActiveAtMs;
+    private boolean callerClosed;
+
+    Tunnel(NetSocket caller) {
+      this.caller = caller;
+      this.callerAddress = String.valueOf(caller.remoteAddress());
+      this.lastActiveAtMs = clock.millis();
+      tunnels.add(this);
+      caller.closeHandler(closed -> onCallerClosed());
+    }
 
-  private static void forward(NetSocket from, NetSocket to) {
-    from.handler(
-        bytes -> {
-          to.write(bytes);
-          if (to.writeQueueFull()) {
-            from.pause();
-            to.drainHandler(drained -> from.resume());
-          }
-        });
+    private void onCallerClosed() {
+      callerClosed = true;
+      tunnels.remove(this);
+      if (endpoint != null) {
+        endpoint.close();
+      }
+    }
+
+    void connect(NetSocket newEndpoint) {
+      endpoint = newEndpoint;
+      if (callerClosed) {
+        endpoint.close();
+        return;
+      }
+      metrics.count("tunnels_opened");
+      endedTunnels.remove(callerAddress);
+      endpoint.exceptionHandler(
+          e -> {
+            recordEnd(callerAddress, false);
+            endpoint.close();
+          });
+      endpoint.endHandler(
+          ended -> {
+            recordEnd(callerAddress, true);
+            caller.end();
+          });
+      caller.write(TunnelRequest.reply(true));
+      forward(caller, endpoint);
+      forward(endpoint, caller);
+      caller.resume();
+    }
+
+    private void forward(NetSocket from, NetSocket to) {
+      from.handler(
+          bytes -> {
+            lastActiveAtMs = clock.millis();
+            to.write(bytes);
+            if (to.writeQueueFull()) {
+              from.pause();
+              to.drainHandler(drained -> from.resume());
+            }
+          });
+    }
   }
 }
