--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -238,6 +238,7 @@
     List<EndpointId> listed =
         routingState.endpoints().entries().stream().map(EndpointEntry::id).toList();
     paths.retain(listed, clock.millis());
+    refusing.retainAll(listed);
   }
 
   private void probeDirectPath(EndpointEntry endpoint) {
@@ -308,7 +309,11 @@
     lastProbeMs.put(endpoint.id(), clock.millis());
     Promise<Boolean> probe = Promise.promise();
     runningProbes.put(endpoint.id(), probe.future());
-    step.get()
+    // A probe that ends with an unexpected error must not count as running for ever.
+    Future.succeededFuture()
+        .compose(started -> step.get())
+        .onFailure(e -> logError(endpoint, e))
+        .otherwise(false)
         .onSuccess(
             reached -> {
               runningProbes.remove(endpoint.id());
@@ -317,6 +322,13 @@
     return probe.future();
   }
 
+  private void logError(EndpointEntry endpoint, Throwable error) {
+    log.line("internal_error")
+        .put("step", "probe " + endpoint.id())
+        .put("problem", String.valueOf(error))
+        .write();
+  }
+
   private Future<Boolean> probeCurrentPath(EndpointEntry endpoint) {
     Optional<VmEntry> relay = paths.relay(endpoint.id());
     return connections
