Test that a VM of an earlier release rejects a tunnel request at once

During a roll a VM asks VMs of both releases for a tunnel. As a frame, the request has a length far above the limit, so an earlier release closes the connection and the next VM is asked.

--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/FrameReaderTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/FrameReaderTest.java
@@ -41,6 +41,15 @@
     assertEquals(0, frames.size());
   }
 
+  /** Guards against a VM of an earlier release that waits for the rest of a tunnel request. */
+  @Test
+  void tunnelRequestIsReportedAtOnce() {
+    FrameReader ofLargestFrames = new FrameReader(16_777_216, frames::add, errors::add);
+    ofLargestFrames.handle(Buffer.buffer("CONNECT e1.1:80 HTTP/1.1\r\n\r\n"));
+    assertEquals(1, errors.size());
+    assertEquals(WireException.Kind.FRAME_LENGTH, errors.get(0).kind());
+  }
+
   /** Guards against a negative length that is accepted as a short frame. */
   @Test
   void negativeLengthIsReported() {
