--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -493,7 +493,10 @@
   // An endpoint whose connection broke during a request and that then accepts no connection has
   // probably crashed.
   private void reportCrash(EndpointEntry endpoint) {
-    lastBrokenEndpoint = null;
+    // Another endpoint may have broken a connection while the paths to this one were searched.
+    if (endpoint.equals(lastBrokenEndpoint)) {
+      lastBrokenEndpoint = null;
+    }
     gateway.crashQuarantine().recordLocalCrash(fingerprint, endpoint.id());
   }
 
