--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -368,8 +368,8 @@
     Await.until("no VM awaits a peer's view", () -> !vm.isStarting() && !secondVm.isStarting());
     links.connect();
     Await.until(
-        "the first VM uses its links",
-        () -> call("GET", "/safe/x", Map.of()).status() == 200 && links.openConnections() > 0);
+        "the first VM uses all its links",
+        () -> call("GET", "/safe/x", Map.of()).status() == 200 && links.areAllUsed());
     return links;
   }
 
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PartitionedVmTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PartitionedVmTest.java
@@ -155,6 +155,21 @@
     assertEquals(200, Await.result(response).status());
   }
 
+  @Test
+  @DisplayName("gets the end of a stream for which its relay has to wait before it exits")
+  void relayExitsAfterItsTunnelsHaveEnded() throws IOException {
+    RawEndpoint endpoint =
+        startScriptedEndpoint(
+            call -> call.writeLater(3_200, call.completeResponse("data: late\n\n")), false);
+    Future<Response> response = environment.begin("POST", "/plainstream/x");
+    Await.until("the endpoint has the request", () -> endpoint.requestIds().size() == 1);
+
+    Await.result(environment.secondVm().stop());
+    environment.killSecondVm();
+
+    assertEquals("data: late\n\n", Await.result(response).body());
+  }
+
   @Test
   @DisplayName("forwards a response that ends with its connection")
   void responseThatEndsWithItsConnectionIsComplete() throws IOException {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/VmLinks.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/VmLinks.java
@@ -83,6 +83,11 @@
     }
   }
 
+  /** Returns whether the VM has read all entries that name the links, and connected to each. */
+  boolean areAllUsed() {
+    return links.stream().allMatch(link -> link.openConnections() > 0);
+  }
+
   /** Returns the number of connections that the VM has not closed. */
   int openConnections() {
     return links.stream().mapToInt(EndpointLink::openConnections).sum();
