--- a/review/3/BudgetForgotten.java
+++ b/review/3/BudgetForgotten.java
@@ -90,17 +90,19 @@
     runAll(context, programs, "in the outage", 8);
     if (context.trouble) {
       Kit.Machine killed = context.machines.get(0);
-      // TROUBLE=down: the store is down, but no machine is killed.
-      if (!"down".equals(System.getenv("TROUBLE"))) {
-        context.record.say(
-            "%s is killed %d ms after that", killed.name, Kit.nowMs() - downAtMs);
-        killed.kill();
-        killed.start();
+      // TROUBLE=down: the store is down, but no machine is killed. TROUBLE=all: all are.
+      String kind = String.valueOf(System.getenv("TROUBLE"));
+      for (Kit.Machine each : context.machines) {
+        if (kind.equals("all") || (each == killed && !kind.equals("down"))) {
+          context.record.say("%s is killed %d ms after that", each.name, Kit.nowMs() - downAtMs);
+          each.kill();
+          each.start();
+        }
       }
       Kit.sleep(Math.max(0, downAtMs + OUTAGE_MS - Kit.nowMs()));
       doors.forEach(each -> each.set(Kit.Store.Mode.SERVES));
       context.record.say("the store is back after %d ms", Kit.nowMs() - downAtMs);
-      killed.awaitReady(30_000);
+      context.machines.forEach(each -> each.awaitReady(30_000));
       Kit.sleep(2_000);
     }
     runAll(context, programs, "after", 14);
--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -270,8 +270,6 @@
     /** How the store treats the machine that uses an address. */
     enum Mode {
       SERVES,
-      /** Accepts channels and never answers; calls are not done. */
-      SILENT,
       /** Answers 503; calls are not done. */
       BUSY
     }
@@ -336,12 +334,12 @@
       while (true) {
         Message call = readHead(in);
         readBody(in, call);
-        if (door.mode == Mode.SILENT || door.silent.contains(channel)) {
+        if (door.silent.contains(channel)) {
           sleep(600_000);
         }
         byte[] answer =
             door.mode == Mode.BUSY ? response(503, "", new byte[0]) : answer(call, door);
-        if (door.mode == Mode.SILENT || door.silent.contains(channel)) {
+        if (door.silent.contains(channel)) {
           sleep(600_000);
         }
         channel.getOutputStream().write(answer);
@@ -527,7 +525,7 @@
           out.write(response(421, "X-Instance-Id: " + id + "\r\n", new byte[0]));
         } else if (request.path().equals("/-/report") || request.path().equals("/health")) {
           out.write(response(200, "X-Instance-Id: " + id + "\r\n", new byte[0]));
-        } else {
+        } else if (!refuse(request, out)) {
           String requestId = request.header("X-Request-Id");
           synchronized (runs) {
             runs.merge(requestId, 1, Integer::sum);
@@ -544,6 +542,11 @@
       }
     }
 
+    /** Refuses a request that it has not run; returns whether it did. */
+    boolean refuse(Message request, OutputStream out) throws IOException {
+      return false;
+    }
+
     String headers(Message request) {
       return "X-Request-Id: "
           + request.header("X-Request-Id")
@@ -725,7 +728,12 @@
               store.address()));
     }
 
+    /** Starts the process; a later start isn't the first one of the whole system. */
     void start() throws IOException {
+      if (process != null) {
+        String first = Files.readString(settings);
+        Files.writeString(settings, first.replace("\"bootstrap\":true", "\"bootstrap\":false"));
+      }
       ProcessBuilder builder = new ProcessBuilder(runCommand());
       builder.directory(root().toFile());
       builder.environment().put("MAGNOLIAROUTE_SETTINGS", settings.toString());
@@ -744,24 +752,9 @@
       }
     }
 
-    boolean isReady() {
-      return send(readyPort, "GET", "/-/ready", "r", 1_000, "", null).status == 200;
-    }
-
-    /** Sends a signal, such as KILL, STOP, CONT or TERM. */
-    void signal(String signal) throws IOException, InterruptedException {
-      new ProcessBuilder("/bin/kill", "-" + signal, String.valueOf(process.pid()))
-          .start()
-          .waitFor();
-    }
-
     void kill() throws InterruptedException {
       process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
     }
-
-    String log() throws IOException {
-      return Files.exists(log) ? Files.readString(log) : "";
-    }
   }
 
   /** Returns the root of the repository. */
