Review case 1: more room for a busy machine

Cause: the first machine had 0.2 s at worst to learn of the new engine before the streams began. Change: streams begin 0.15 s later, the crash and the take-up 0.1 s.

--- a/review/1/MixedVersions.java
+++ b/review/1/MixedVersions.java
@@ -18,9 +18,9 @@
   // Times since the channels fell silent.
   private static final int ADDED_MS = 50;
   private static final int DRAINING_MS = 250;
-  private static final int BEGIN_MS = 1_100;
-  private static final int CRASH_MS = 1_450;
-  private static final int RESUME_MS = 1_600;
+  private static final int BEGIN_MS = 1_250;
+  private static final int CRASH_MS = 1_550;
+  private static final int RESUME_MS = 1_700;
 
   public static void main(String[] args) throws Exception {
     Kit.main(args, MixedVersions::run);
