Read the endpoints again before a stream is resumed at the only known version

Clients that resumed a stream of a new software version at a VM that was out of step got 200 from an engine of the old version: one stream of two versions.

A read that is held by a silent connection has not failed, and a VM that wakes from a pause handles the client's request first. Besides, versions were observed from the resulting list only, so an endpoint that joined and left between two reads was missed.

The log of begun streams and the index in memory are excluded: the log was not read, and the VM had not begun the stream.

Change: before the only known version is used, the endpoint list is read to its end by a read that began after the request arrived; resumptions at the same time share it. If it fails, only the log of begun streams counts. Each entry that is read is observed, also if the same page removes it, and after a listing the stored versions are read again. A tail drops records that a concurrent read has delivered already. Nothing depends on other VMs.

The test environment's HTTP client moved to a class of its own.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/ServiceVersions.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/ServiceVersions.java
@@ -65,6 +65,11 @@
     return changed;
   }
 
+  /** Records that versions may be stored that this VM has not read, until they are applied. */
+  public void invalidateStored() {
+    storedVersionsKnown = false;
+  }
+
   /** Applies the complete list of stored versions, which other VMs may have seen long ago. */
   public void applyStored(Collection<ServiceVersion> stored, long nowMs) {
     for (ServiceVersion version : stored) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -315,6 +315,8 @@
     StoreTail.PollTiming endpointTiming =
         new StoreTail.PollTiming(
             ENDPOINT_WAIT_MS, (long) (ENDPOINT_PAUSE_FRACTION * settings.drainLimitMs()));
+    routingStateUpdater.setEntryListener(serviceVersionLog::observeEntry);
+    routingStateUpdater.setListingListener(serviceVersionLog::onEndpointsListed);
     StoreTail config =
         startTail(
             StoreClient.OPERATOR_TOPIC, configTiming, routingStateUpdater.configurationListener());
@@ -322,9 +324,9 @@
         startTail(
             StoreClient.ENDPOINT_TOPIC, endpointTiming, routingStateUpdater.endpointListener());
     routingStateOutdated = () -> config.isBehind() || endpoints.isBehind();
-    streamVersions.setEndpointsOutdated(endpoints::isBehind);
+    streamVersions.setEndpointRefresh(
+        () -> endpoints.refresh().onSuccess(read -> serviceVersionLog.observeChanges()));
     startTail(VmDirectory.TOPIC, VM_POLL_TIMING, vmDirectory);
-    serviceVersionLog.start();
     vertx.setPeriodic(Watchdog.CHECK_INTERVAL_MS, timer -> tick());
     ReadinessServer ready = new ReadinessServer(vertx, this::isReady, metrics);
     Future<?> peerListening =
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Applies records from the store and state from peers to the {@link RoutingState} of this VM. */
 final class RoutingStateUpdater {
@@ -20,6 +21,8 @@
   private final StoreHealth storeHealth;
   private final InstantSource clock;
   private final DecisionLog log;
+  private Consumer<EndpointEntry> entryListener = entry -> {};
+  private Runnable listingListener = () -> {};
 
   RoutingStateUpdater(
       RoutingState routingState, StoreHealth storeHealth, InstantSource clock, DecisionLog log) {
@@ -29,6 +32,19 @@
     this.log = log;
   }
 
+  /**
+   * Sets the listener that receives each entry read from the store, also if a later record of the
+   * same page removes it.
+   */
+  void setEntryListener(Consumer<EndpointEntry> listener) {
+    entryListener = listener;
+  }
+
+  /** Sets the listener of listings, which leave out endpoints that joined and left before. */
+  void setListingListener(Runnable listener) {
+    listingListener = listener;
+  }
+
   /** Returns the listener for the topic of the operator's configuration. */
   StoreTail.Listener configurationListener() {
     return new StoreTail.Listener() {
@@ -52,6 +68,7 @@
       public void onListing(StoreClient.Listing listing) {
         routingState.recordEndpointsOffset(listing.end());
         applyEndpointListing(listing.records());
+        listingListener.run();
       }
 
       @Override
@@ -125,6 +142,7 @@
       return;
     }
     Optional<EndpointEntry> entry = decode(record);
+    entry.ifPresent(entryListener);
     if (entry.isPresent() && routingState.endpoints().apply(entry.get())) {
       log.line("endpoint_changed")
           .put("endpoint", record.key())
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ServiceVersionLog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ServiceVersionLog.java
@@ -1,5 +1,6 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.ServiceVersion;
 import io.magnoliaroute.core.gateway.ServiceVersions;
 import io.magnoliaroute.core.log.MalformedRecordException;
@@ -10,6 +11,7 @@
 import io.vertx.core.Vertx;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -56,12 +58,22 @@
     listener = newListener;
   }
 
-  /** Reads the stored versions; repeats the call until it succeeds. */
-  void start() {
+  /**
+   * Handles a listing of the endpoints. It leaves out those that joined and left since the last
+   * record that was read, so the stored versions are read too.
+   */
+  void onEndpointsListed() {
+    observe();
+    versions.invalidateStored();
+    load();
+  }
+
+  // Repeats the call until it succeeds.
+  private void load() {
     store
         .listNewest(TOPIC, 0)
         .onSuccess(this::applyListing)
-        .onFailure(e -> vertx.setTimer(LIST_RETRY_MS, fired -> start()));
+        .onFailure(e -> vertx.setTimer(LIST_RETRY_MS, fired -> load()));
   }
 
   private void applyListing(StoreClient.Listing listing) {
@@ -90,7 +102,19 @@
 
   private void observe() {
     observedRevision = routingState.endpoints().revision();
-    Set<String> changed = versions.observe(routingState.endpoints().entries(), clock.millis());
+    observe(routingState.endpoints().entries());
+  }
+
+  /**
+   * Records the version of an entry that has been read. The endpoint may have begun streams and
+   * left again before this VM read of either.
+   */
+  void observeEntry(EndpointEntry entry) {
+    observe(List.of(entry));
+  }
+
+  private void observe(Collection<EndpointEntry> entries) {
+    Set<String> changed = versions.observe(entries, clock.millis());
     for (String service : changed) {
       log.line("service_version_added")
           .put("service", service)
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.platform.StoreClient;
 import io.magnoliaroute.platform.StoreException;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.random.RandomGenerator;
 
@@ -21,6 +22,7 @@
   private final String topic;
   private final PollTiming timing;
   private final Listener listener;
+  private final CoalescedReads refreshes = new CoalescedReads(this::readPages);
   private long nextOffset = -1;
   private long retryMs = FIRST_RETRY_MS;
   private long failingSinceMs = Long.MAX_VALUE;
@@ -89,9 +91,7 @@
         .onSuccess(
             page -> {
               recordSuccess();
-              boolean hasNew = page.nextOffset() > nextOffset;
-              nextOffset = Math.max(nextOffset, page.nextOffset());
-              deliverThenRead(hasNew ? () -> listener.onRecords(page) : () -> {}, timing.pauseMs());
+              deliverThenRead(() -> deliver(page), timing.pauseMs());
             })
         .onFailure(
             e -> {
@@ -112,6 +112,45 @@
     }
   }
 
+  // A refresh may have delivered some of the records already. Delivered again, they would replace
+  // newer ones of the same key.
+  private void deliver(StoreClient.Page page) {
+    long firstNew = nextOffset;
+    if (page.nextOffset() <= firstNew) {
+      return;
+    }
+    nextOffset = page.nextOffset();
+    listener.onRecords(
+        new StoreClient.Page(
+            page.end(),
+            page.records().stream().filter(record -> record.offset() >= firstNew).toList(),
+            page.malformed(),
+            page.nextOffset()));
+  }
+
+  /**
+   * Delivers all records that the store holds now; fails if they cannot be read. A tail whose calls
+   * have not failed may still lack them: its read may be waiting for a lost response, or this
+   * process may have been paused.
+   */
+  Future<Void> refresh() {
+    return nextOffset < 0
+        ? Future.failedFuture("the topic has not been listed")
+        : refreshes.readToEnd();
+  }
+
+  private Future<Void> readPages() {
+    long from = nextOffset;
+    return store
+        .read(topic, 0, from, 0)
+        .compose(
+            page -> {
+              deliver(page);
+              boolean isLast = page.nextOffset() <= from || page.nextOffset() >= page.end();
+              return isLast ? Future.succeededFuture() : readPages();
+            });
+  }
+
   /** Returns whether this tail's calls to the store have failed for some time. */
   boolean isBehind() {
     return failingSinceMs != Long.MAX_VALUE && health.nowMs() - failingSinceMs >= BEHIND_AFTER_MS;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StreamVersions.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StreamVersions.java
@@ -18,8 +18,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Determines the software version at which a client's stream may be resumed: that of the endpoint
@@ -64,9 +64,9 @@
   private final LongSupplier appendIntervalMs;
   private final StreamVersionIndex index = new StreamVersionIndex();
   private final List<StreamVersionIndex.BegunStream> pending = new ArrayList<>();
-  private BooleanSupplier endpointsOutdated = () -> true;
-  private Future<Void> runningRead = Future.succeededFuture();
-  private Future<Void> queuedRead = Future.succeededFuture();
+  private final CoalescedReads reads = new CoalescedReads(this::readPages);
+  private Supplier<Future<Void>> endpointRefresh =
+      () -> Future.failedFuture("the endpoints are not known");
   private long nextOffset;
   private long lastAppendMs = Long.MIN_VALUE / 2;
   private boolean appendScheduled;
@@ -92,9 +92,9 @@
     this.appendIntervalMs = appendIntervalMs;
   }
 
-  /** Sets the supplier that tells whether this VM may lack the newest endpoints. */
-  void setEndpointsOutdated(BooleanSupplier outdated) {
-    endpointsOutdated = outdated;
+  /** Sets the operation that applies all endpoint entries that the store holds at its call. */
+  void setEndpointRefresh(Supplier<Future<Void>> refresh) {
+    endpointRefresh = refresh;
   }
 
   /** Records the version of the endpoint that has delivered the first event of a stream. */
@@ -169,60 +169,75 @@
   /**
    * Determines the version at which the client's stream may be resumed; empty if it is not known.
    * Never fails.
+   *
+   * <p>That this VM knows a single version proves nothing until the endpoints have been read again:
+   * other VMs may have begun streams at a version that joined since, also while no call of this VM
+   * to the store has failed.
    */
   Future<Optional<String>> find(RequestMetadata metadata, String service) {
     Optional<String> resumed = metadata.resumedRequestId();
     if (resumed.isPresent() && index.contains(resumed.get())) {
-      return logged(metadata, index.find(resumed.get(), service), "memory");
-    }
-    if (!endpointsOutdated.getAsBoolean() && serviceVersions.onlyVersion(service).isPresent()) {
-      return logged(metadata, serviceVersions.onlyVersion(service), "only_version");
+      return Future.succeededFuture(
+          logged(metadata, new Lookup(index.find(resumed.get(), service), "memory")));
     }
-    if (resumed.isEmpty()) {
-      return logged(metadata, Optional.empty(), "not_named");
-    }
-    return readUntilKnown(resumed.get())
-        .compose(read -> logged(metadata, index.find(resumed.get(), service), "store"));
+    Promise<Lookup> found = Promise.promise();
+    long timer =
+        vertx.setTimer(
+            LOOKUP_TIMEOUT_MS, fired -> found.tryComplete(new Lookup(Optional.empty(), "timeout")));
+    Future<Void> refreshed =
+        serviceVersions.onlyVersion(service).isPresent()
+            ? endpointRefresh.get()
+            : Future.succeededFuture();
+    refreshed.onComplete(
+        done -> {
+          Optional<String> only = serviceVersions.onlyVersion(service);
+          if (done.succeeded() && only.isPresent()) {
+            found.tryComplete(new Lookup(only, "only_version"));
+          } else if (resumed.isEmpty()) {
+            found.tryComplete(new Lookup(Optional.empty(), "not_named"));
+          } else {
+            findInStore(resumed.get(), service, found);
+          }
+        });
+    return found
+        .future()
+        .onComplete(done -> vertx.cancelTimer(timer))
+        .map(lookup -> logged(metadata, lookup));
   }
 
-  private Future<Optional<String>> logged(
-      RequestMetadata metadata, Optional<String> version, String source) {
+  /** The version of a stream and where it was found. */
+  private record Lookup(Optional<String> version, String source) {}
+
+  private Optional<String> logged(RequestMetadata metadata, Lookup lookup) {
     log.line("stream_resumed")
         .put("request", metadata.requestId())
         .put("resumed_request", metadata.resumedRequestId().orElse(""))
-        .put("software_version", version.orElse(""))
-        .put("source", source)
+        .put("software_version", lookup.version().orElse(""))
+        .put("source", lookup.source())
         .write();
-    return Future.succeededFuture(version);
+    return lookup.version();
   }
 
-  private Future<Void> readUntilKnown(String requestId) {
-    Promise<Void> done = Promise.promise();
-    long timer = vertx.setTimer(LOOKUP_TIMEOUT_MS, fired -> done.tryComplete());
-    readOn()
+  private void findInStore(String resumedRequestId, String service, Promise<Lookup> found) {
+    reads
+        .readToEnd()
         .onComplete(
             read -> {
-              if (index.contains(requestId)) {
-                done.tryComplete();
-              } else {
+              if (index.contains(resumedRequestId)) {
+                found.tryComplete(new Lookup(index.find(resumedRequestId, service), "store"));
+              } else if (!found.future().isComplete()) {
                 vertx.setTimer(
-                    LOOKUP_RETRY_MS, fired -> readOn().onComplete(again -> done.tryComplete()));
+                    LOOKUP_RETRY_MS,
+                    fired ->
+                        reads
+                            .readToEnd()
+                            .onComplete(
+                                again ->
+                                    found.tryComplete(
+                                        new Lookup(
+                                            index.find(resumedRequestId, service), "store"))));
               }
             });
-    return done.future().onComplete(ended -> vertx.cancelTimer(timer));
-  }
-
-  // A read that is under way may miss records that are already stored now, so another one follows.
-  // All lookups that come meanwhile share it.
-  private Future<Void> readOn() {
-    if (runningRead.isComplete()) {
-      runningRead = readPages();
-      return runningRead;
-    }
-    if (queuedRead.isComplete()) {
-      queuedRead = runningRead.transform(previous -> runningRead = readPages());
-    }
-    return queuedRead;
   }
 
   private Future<Void> readPages() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -11,15 +11,12 @@
 import io.magnoliaroute.wire.FrameReader;
 import io.magnoliaroute.wire.MessageCodec;
 import io.magnoliaroute.wire.PeerMessage;
-import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import java.io.Closeable;
 import java.io.IOException;
 import java.time.InstantSource;
@@ -42,8 +39,7 @@
 
   private final Vertx vertx = Vertx.vertx();
   private final Vertx secondVertx = TestRuntime.singleLoopVertx();
-  private final HttpClient client = vertx.createHttpClient();
-  private final Context clientContext = vertx.getOrCreateContext();
+  private final TestHttpClient client = new TestHttpClient(vertx);
   private final StandinStore store = new StandinStore(vertx);
   private final StandinStore secondStore = new StandinStore(secondVertx);
   private final StandinEndpoint firstEndpoint = new StandinEndpoint(vertx, "e1");
@@ -373,6 +369,11 @@
     return links;
   }
 
+  /** Pauses the first VM, as a freeze of its process does, until the result runs. */
+  Runnable pauseVm() {
+    return TestRuntime.pause(vmVertx);
+  }
+
   /** Stops the first VM without a graceful shutdown; its state in memory is lost. */
   void killVm() {
     Await.result(vmVertx.close());
@@ -564,27 +565,7 @@
 
   private Future<Response> send(
       int port, HttpMethod method, String path, Map<String, String> headers) {
-    RequestOptions options =
-        new RequestOptions().setHost("127.0.0.1").setPort(port).setMethod(method).setURI(path);
-    Promise<Response> result = Promise.promise();
-    // The body handler is set on the event loop; set later, it could miss chunks of the body.
-    clientContext.runOnContext(
-        run ->
-            client
-                .request(options)
-                .compose(
-                    request -> {
-                      headers.forEach(request::putHeader);
-                      return request.send().compose(GatewayTestEnvironment::toResponse);
-                    })
-                .onComplete(result));
-    return result.future();
-  }
-
-  private static Future<Response> toResponse(HttpClientResponse response) {
-    return response
-        .body()
-        .map(body -> new Response(response.statusCode(), response.headers(), body.toString()));
+    return client.send(port, method, path, headers);
   }
 
   void close() throws IOException {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestRuntime.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestRuntime.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
 
 /** Creates the event loops on which tests run VMs. */
@@ -27,6 +28,29 @@
     return promise.future();
   }
 
+  /** Blocks the only event loop of the runtime until the result runs. */
+  static Runnable pause(Vertx runtime) {
+    CountDownLatch wake = new CountDownLatch(1);
+    CountDownLatch paused = new CountDownLatch(1);
+    runtime
+        .getOrCreateContext()
+        .runOnContext(
+            run -> {
+              paused.countDown();
+              await(wake);
+            });
+    await(paused);
+    return wake::countDown;
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** The VM registers its address in the store before it listens, so the port must be known. */
   static int freePort() {
     try (ServerSocket socket = new ServerSocket(0)) {
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinStore.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinStore.java
@@ -37,7 +37,7 @@
     NONE,
     /** Refuses every call. */
     DOWN,
-    /** Never responds and ignores every call. */
+    /** Never responds and ignores every call, also reads that are waiting for records. */
     SILENT,
     /** Executes appends but never responds to them. */
     ANSWERS_LOST
@@ -148,6 +148,9 @@
 
   private synchronized void read(HttpServerRequest request, List<byte[]> partition, long waitMs) {
     int from = Integer.parseInt(request.getParam("from"));
+    if (fault == Fault.SILENT) {
+      return;
+    }
     String name = request.getParam("topic") + "/" + request.getParam("part");
     int first = firstRetained.getOrDefault(name, 0);
     if (from < first) {
