Reject requests of ambiguous length before anything behind them is read

Engines ran payments that clients had hidden in the body of another request, also when the VM had answered 400 to it.

Cause: the HTTP library removes Content-Length beside Transfer-Encoding before the check for both, which therefore never found any; and after a response to a request that had not been read to its end, requests of the connection were still handled for 50 ms.

Evidence: AmbiguousRequestTest on the code before, 6 of 6 cases failed: both fields: answered 200 and kept open; two codings: 400, and [hidden] run; a body that is too large: a second response behind the 413; the readiness port: kept open; an upgrade to HTTP/2: 101.

Change: a decoder of the library's own is extended. It keeps both fields, fails heads with several length fields, an odd spelling or a coding before HTTP/1.1 and malformed or overflowing chunk sizes, and discards every byte behind them. After a response that ends a connection nothing of it is handled. The readiness port and the product's own interface use the same decoder. HTTP/2 over clear text is off, as an upgrade replaces the decoder. All pass now, with 45 cases of bytes in StrictRequestDecoderTest.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientResponse.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientResponse.java
@@ -18,6 +18,7 @@
   private final BooleanSupplier stopping;
   private boolean started;
   private boolean finished;
+  private boolean closing;
 
   ClientResponse(HttpServerRequest request, BooleanSupplier stopping) {
     this.request = request;
@@ -33,6 +34,11 @@
     return finished || response.closed();
   }
 
+  /** Announces to the client that its connection is closed after this response. */
+  void closeAfterEnd() {
+    closing = true;
+  }
+
   /** Writes a complete response that this VM generates itself, such as a refusal. */
   void writeOwn(int status, String text, long retryAfterMs) {
     if (started || isFinished()) {
@@ -44,7 +50,7 @@
     if (retryAfterMs > 0) {
       response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / 1_000.0));
     }
-    closeIfStopping();
+    announceClose();
     response.end(text + "\n");
   }
 
@@ -103,11 +109,11 @@
     started = true;
     response.setStatusCode(head.status());
     ResponseHead.copyHeaders(headers, response.headers());
-    closeIfStopping();
+    announceClose();
   }
 
-  private void closeIfStopping() {
-    if (stopping.getAsBoolean()) {
+  private void announceClose() {
+    if (closing || stopping.getAsBoolean()) {
       response.putHeader("Connection", CLOSE);
     }
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
@@ -5,8 +5,11 @@
 import io.magnoliaroute.core.gateway.Route;
 import io.magnoliaroute.core.gateway.RoutingTable;
 import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.daemon.http.StrictRequestDecoder;
 import io.magnoliaroute.platform.PlatformFormatException;
 import io.magnoliaroute.platform.RequestHeaderCodec;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
@@ -27,13 +30,21 @@
   private static final int NOT_FOUND = 404;
   private static final int TIMED_OUT = 408;
   private static final int TOO_LARGE = 413;
+  private static final int URI_TOO_LONG = 414;
   private static final int HEADER_TOO_LARGE = 431;
   private static final int UNAVAILABLE = 503;
 
   /** {@code Retry-After} while this VM has not loaded its configuration yet. */
   private static final long NOT_READY_RETRY_AFTER_MS = 300;
 
+  /**
+   * Time for which bytes are still read, and discarded, after the last response of a connection.
+   * Closed at once, the connection could be reset before the client has read the response.
+   */
+  private static final long CLOSE_DELAY_MS = 50;
+
   private final GatewayContext gateway;
+  private final HttpServerOptions options;
   private final HttpServer server;
   private final Map<HttpConnection, ClientConnection> connections = new HashMap<>();
   private boolean stopping;
@@ -42,29 +53,30 @@
   private static final class ClientConnection {
     private int activeRequests;
     private long idleSinceMs;
+    private boolean used;
+    private boolean closing;
   }
 
   ClientServer(GatewayContext gateway) {
     this.gateway = gateway;
-    this.server =
-        gateway
-            .vertx()
-            .createHttpServer(
-                new HttpServerOptions()
-                    .setTcpNoDelay(true)
-                    .setReuseAddress(true)
-                    .setAcceptBacklog(BACKLOG)
-                    .setMaxHeaderSize(MAX_HEADER_BYTES)
-                    .setMaxInitialLineLength(MAX_HEADER_BYTES)
-                    .setHandle100ContinueAutomatically(true)
-                    .setDecompressionSupported(false)
-                    .setCompressionSupported(false));
+    this.options =
+        StrictRequestDecoder.options()
+            .setTcpNoDelay(true)
+            .setReuseAddress(true)
+            .setAcceptBacklog(BACKLOG)
+            .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setMaxInitialLineLength(MAX_HEADER_BYTES)
+            .setHandle100ContinueAutomatically(true)
+            .setDecompressionSupported(false)
+            .setCompressionSupported(false);
+    this.server = gateway.vertx().createHttpServer(options);
   }
 
   Future<HttpServer> listen(HostPort address) {
     return server
         .connectionHandler(this::handleConnectionOpened)
         .requestHandler(this::handle)
+        .invalidRequestHandler(this::handle)
         .listen(address.port(), address.host());
   }
 
@@ -73,8 +85,9 @@
     return activeRequests;
   }
 
-  int openConnections() {
-    return connections.size();
+  /** Returns the number of open connections that have carried a request. */
+  int usedConnections() {
+    return (int) connections.values().stream().filter(state -> state.used).count();
   }
 
   /** Begins the shutdown: from now on, each response closes its connection. */
@@ -82,27 +95,31 @@
     stopping = true;
   }
 
-  /** Closes the connections that carry no request. */
+  /**
+   * Closes the connections that carry no request at present. New connections are kept, because
+   * their first request is usually on its way.
+   */
   void closeIdle() {
-    closeIdleFor(0);
+    for (Map.Entry<HttpConnection, ClientConnection> entry : List.copyOf(connections.entrySet())) {
+      if (entry.getValue().used && entry.getValue().activeRequests == 0) {
+        entry.getKey().close();
+      }
+    }
   }
 
   /** Closes the connections that have exceeded the idle time-out of clients. */
   void closeExpired() {
-    closeIdleFor(limits().idleTimeoutMs());
-  }
-
-  private void closeIdleFor(long idleMs) {
     long nowMs = gateway.clock().millis();
     for (Map.Entry<HttpConnection, ClientConnection> entry : List.copyOf(connections.entrySet())) {
       ClientConnection state = entry.getValue();
-      if (state.activeRequests == 0 && nowMs - state.idleSinceMs >= idleMs) {
+      if (state.activeRequests == 0 && nowMs - state.idleSinceMs >= limits().idleTimeoutMs()) {
         entry.getKey().close();
       }
     }
   }
 
   private void handleConnectionOpened(HttpConnection connection) {
+    StrictRequestDecoder.install(connection, options);
     ClientConnection state = new ClientConnection();
     state.idleSinceMs = gateway.clock().millis();
     connections.put(connection, state);
@@ -113,6 +130,12 @@
   private void handle(HttpServerRequest request) {
     ClientConnection state =
         connections.computeIfAbsent(request.connection(), key -> new ClientConnection());
+    if (state.closing) {
+      // The last response of this connection has been written; the client learns from its close
+      // that this request has not been read.
+      return;
+    }
+    state.used = true;
     state.activeRequests++;
     activeRequests++;
     ClientResponse response = new ClientResponse(request, () -> stopping);
@@ -134,18 +157,17 @@
           }
         };
     RequestReader reader =
-        new RequestReader(request, response, onFinished, gateway.clock().millis());
+        new RequestReader(request, response, state, onFinished, gateway.clock().millis());
     request.exceptionHandler(e -> reader.handleClientDisconnect());
     request.response().closeHandler(closed -> reader.handleClientDisconnect());
     reader.begin();
   }
 
-  // The response is still being written, so the connection is closed after a short delay.
   private void closeAfterDelay(HttpConnection connection, ClientConnection state) {
     gateway
         .vertx()
         .setTimer(
-            50,
+            CLOSE_DELAY_MS,
             fired -> {
               if (state.activeRequests == 0) {
                 connection.close();
@@ -162,6 +184,7 @@
 
     private final HttpServerRequest request;
     private final ClientResponse response;
+    private final ClientConnection connection;
     private final Runnable onFinished;
     private final long arrivedMs;
     private final Buffer body = Buffer.buffer();
@@ -170,16 +193,21 @@
     private long timer;
 
     RequestReader(
-        HttpServerRequest request, ClientResponse response, Runnable onFinished, long arrivedMs) {
+        HttpServerRequest request,
+        ClientResponse response,
+        ClientConnection connection,
+        Runnable onFinished,
+        long arrivedMs) {
       this.request = request;
       this.response = response;
+      this.connection = connection;
       this.onFinished = onFinished;
       this.arrivedMs = arrivedMs;
     }
 
     void begin() {
-      if (isAmbiguous()) {
-        reject(BAD_REQUEST, "the length of the body is ambiguous", 0);
+      if (request.decoderResult().isFailure()) {
+        rejectMalformed(request.decoderResult().cause());
         return;
       }
       if (headerBytes() > limits().maxHeaderBytes()) {
@@ -256,6 +284,16 @@
       exchange.start();
     }
 
+    private void rejectMalformed(Throwable cause) {
+      int status = BAD_REQUEST;
+      if (cause instanceof TooLongHttpLineException) {
+        status = URI_TOO_LONG;
+      } else if (cause instanceof TooLongHttpHeaderException) {
+        status = HEADER_TOO_LARGE;
+      }
+      reject(status, "malformed request: " + cause.getMessage(), 0);
+    }
+
     private void reject(int status, String reason, long retryAfterMs) {
       if (finished) {
         return;
@@ -270,10 +308,14 @@
           .put("config", gateway.routingState().tableVersion())
           .write();
       boolean bodyIncomplete = !request.isEnded();
+      if (bodyIncomplete) {
+        connection.closing = true;
+        response.closeAfterEnd();
+      }
       response.writeOwn(status, reason, retryAfterMs);
       finish();
       if (bodyIncomplete) {
-        closeAfterDelay(request.connection(), new ClientConnection());
+        closeAfterDelay(request.connection(), connection);
       }
     }
 
@@ -289,20 +331,6 @@
       return query < 0 ? uri : uri.substring(0, query);
     }
 
-    // Several lengths, or a length together with chunked encoding, allow request smuggling: the
-    // body can contain a second request.
-    private boolean isAmbiguous() {
-      List<String> lengths = request.headers().getAll("Content-Length");
-      List<String> codings = request.headers().getAll("Transfer-Encoding");
-      if (lengths.size() > 1 || codings.size() > 1) {
-        return true;
-      }
-      if (!codings.isEmpty() && !codings.get(0).strip().equalsIgnoreCase("chunked")) {
-        return true;
-      }
-      return !lengths.isEmpty() && !codings.isEmpty();
-    }
-
     private int headerBytes() {
       int bytes = request.uri().length();
       for (Map.Entry<String, String> field : request.headers()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -437,7 +437,7 @@
           clientServer.closeIdle();
           boolean idle =
               clientServer.activeRequests() == 0
-                  && clientServer.openConnections() == 0
+                  && clientServer.usedConnections() == 0
                   && tunnelServer.openTunnels() == 0;
           if (idle || nowMs >= limitMs) {
             vertx.cancelTimer(timer);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReadinessServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReadinessServer.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.daemon.gateway;
 
 import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.daemon.http.StrictRequestDecoder;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
@@ -15,6 +16,8 @@
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
 
+  private final HttpServerOptions options =
+      StrictRequestDecoder.options().setTcpNoDelay(true).setReuseAddress(true);
   private final HttpServer server;
   private final BooleanSupplier ready;
   private final GatewayMetrics metrics;
@@ -22,12 +25,14 @@
   ReadinessServer(Vertx vertx, BooleanSupplier ready, GatewayMetrics metrics) {
     this.ready = ready;
     this.metrics = metrics;
-    this.server =
-        vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true));
+    this.server = vertx.createHttpServer(options);
   }
 
   Future<HttpServer> listen(HostPort address) {
-    return server.requestHandler(this::handle).listen(address.port(), address.host());
+    return server
+        .connectionHandler(connection -> StrictRequestDecoder.install(connection, options))
+        .requestHandler(this::handle)
+        .listen(address.port(), address.host());
   }
 
   private void handle(HttpServerRequest request) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/HttpFrontEnd.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/HttpFrontEnd.java
@@ -122,7 +122,7 @@
         };
     int port = address.port() == 0 ? RANDOM_PORT_IDS.decrementAndGet() : address.port();
     HttpServerOptions options =
-        new HttpServerOptions()
+        StrictRequestDecoder.options()
             .setHost(address.host())
             .setPort(port)
             .setTcpNoDelay(true)
@@ -177,6 +177,7 @@
     public Future<?> start() {
       return vertx
           .createHttpServer(options)
+          .connectionHandler(connection -> StrictRequestDecoder.install(connection, options))
           .requestHandler(routerFactory.get())
           .listen()
           .onSuccess(servers::add);
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/OutOfStepVmTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/OutOfStepVmTest.java
@@ -5,6 +5,7 @@
 
 import io.magnoliaroute.core.gateway.ServiceVersion;
 import io.magnoliaroute.daemon.support.Await;
+import io.magnoliaroute.daemon.support.RawClient;
 import io.magnoliaroute.standin.users.StandinStore;
 import java.io.IOException;
 import java.util.List;
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RawClient.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/support/RawClient.java
@@ -1,4 +1,4 @@
-package io.magnoliaroute.daemon.gateway;
+package io.magnoliaroute.daemon.support;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -12,14 +12,15 @@
 import java.util.Locale;
 
 /** A client connection on which a test writes and reads exact bytes. */
-final class RawClient implements Closeable {
+public final class RawClient implements Closeable {
 
   private static final int READ_TIMEOUT_MS = 10_000;
 
   private final Socket socket;
   private final InputStream in;
 
-  RawClient(int port) throws IOException {
+  /** Connects to a port of this host. */
+  public RawClient(int port) throws IOException {
     socket = new Socket(InetAddress.getLoopbackAddress(), port);
     socket.setSoTimeout(READ_TIMEOUT_MS);
     socket.setTcpNoDelay(true);
@@ -27,18 +28,18 @@
   }
 
   /** Returns the head of a request with the given lines. */
-  static String head(String... lines) {
+  public static String head(String... lines) {
     return String.join("\r\n", lines) + "\r\n\r\n";
   }
 
   /** Writes bytes; on return they have reached the receive buffer of the peer. */
-  void write(String bytes) throws IOException {
+  public void write(String bytes) throws IOException {
     socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
   }
 
   /** Reads the head of a response; empty if the connection was closed instead. */
-  String readHead() throws IOException {
+  public String readHead() throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
       int next = readByte();
@@ -51,7 +52,7 @@
   }
 
   /** Reads a response with a length; empty if the connection was closed instead. */
-  String readResponse() throws IOException {
+  public String readResponse() throws IOException {
     String head = readHead();
     for (String line : head.lines().toList()) {
       if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
@@ -63,7 +64,7 @@
   }
 
   /** Reads all bytes until the connection is closed. */
-  String readUntilClosed() throws IOException {
+  public String readUntilClosed() throws IOException {
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     for (int next = readByte(); next >= 0; next = readByte()) {
       all.write(next);
@@ -81,7 +82,7 @@
   }
 
   /** Ends the direction to the peer; responses can still be read. */
-  void endOutput() throws IOException {
+  public void endOutput() throws IOException {
     socket.shutdownOutput();
   }
 
