Ask other VMs for unrecorded use before a restarted VM grants tokens

Programs got up to 1,200 tokens of a budget of 800 (turns of 100) when the store was down and the VM that held their budget was killed and restarted.

Cause: turns granted from memory in an outage are known to the VM that granted them and to those that it notified. Only a record by the same VM makes them count for all. Its next start is first in the order again, reads the records, in which they are missing, and asked nobody. Besides, a VM that had been notified dropped the note when it loaded an older record of the same holder.

The notes do arrive: the peer's reply names the use.

What they remember is counted, and recorded in the name of the ended holder; a holder that still runs takes such a record for its own. If none that was there is left and the store was away, the largest use from memory of a large budget is assumed, and refused while the store is away. A record removes a note only if it is newer, and a holder that has recorded its use says so. While a data centre cannot be reached, each side uses at most its share of what is left of a large budget.

The question is a reservation of no tokens in a mode that earlier releases take for a known one; new fields of the reply are skipped by them.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * One holder's view of the token budgets of the programs in one partition.
@@ -73,7 +76,8 @@
     private long reportedUsed;
     private boolean sliceNeeded;
     private String lastGranter = "";
-    private final Map<String, Long> unrecordedByHolder = new HashMap<>();
+    private final Map<String, ReportedUse> unrecordedByHolder = new HashMap<>();
+    private final Set<String> endedHolders = new HashSet<>();
     private long lastUsedAtMs;
   }
 
@@ -143,7 +147,11 @@
   /** Returns whether any program needs a further record for turns that have run or are waiting. */
   public boolean needsRecord() {
     return accounts.values().stream()
-        .anyMatch(account -> account.sliceNeeded || ownUnrecorded(account) > 0);
+        .anyMatch(
+            account ->
+                account.sliceNeeded
+                    || ownUnrecorded(account) > 0
+                    || !account.endedHolders.isEmpty());
   }
 
   /** Loads the view from a listing of the most recent record of each program. */
@@ -200,12 +208,109 @@
     account.reportedUsed = Math.max(account.reportedUsed, usedTokens);
     account.lastUsedAtMs = nowMs;
     if (unrecordedTokens > 0 && !reporter.equals(holder)) {
-      account.unrecordedByHolder.put(reporter, unrecordedTokens);
+      account.unrecordedByHolder.put(reporter, new ReportedUse(usedTokens, unrecordedTokens));
     } else {
       account.unrecordedByHolder.remove(reporter);
+      account.endedHolders.remove(reporter);
     }
   }
 
+  /**
+   * Marks the use that ended holders have not recorded, so that the next append records it in their
+   * names. All other holders stop counting it separately once they read such a record; a holder
+   * that still runs, contrary to the predicate, takes the record for its own.
+   *
+   * @param hasEnded whether the holder of a name has ended
+   */
+  public void takeOverUse(Predicate<String> hasEnded) {
+    for (Account account : accounts.values()) {
+      for (String each : account.unrecordedByHolder.keySet()) {
+        if (hasEnded.test(each)) {
+          account.endedHolders.add(each);
+        }
+      }
+    }
+  }
+
+  /**
+   * Counts use of which no record and no holder is known as this holder's own.
+   *
+   * @param usedTokens the tokens used by all holders
+   */
+  public void adoptUse(String program, long usedTokens, long nowMs) {
+    Account account = accounts.computeIfAbsent(program, name -> new Account());
+    account.lastUsedAtMs = nowMs;
+    account.ownUsed += Math.max(0, usedTokens - knownUse(account));
+  }
+
+  /**
+   * Counts the use that all holders together may have forgotten because they ended while the store
+   * was unavailable. The rule for budgets tolerates one turn, so that small budgets stay whole.
+   */
+  public void assumeForgottenUse(String program, long budgetTokens, long turnTokens, long nowMs) {
+    Account account = account(program, budgetTokens, turnTokens, nowMs);
+    if (isLarge(account)) {
+      long forgotten = Math.min(ungranted(account), offlineLimit(account, turnTokens, 1));
+      account.ownUsed += Math.max(0, forgotten);
+    }
+  }
+
+  /**
+   * Applies the use of other holders that further VMs remember, unless the newest record covers it.
+   *
+   * @param useByHolder for each holder, what it reported last
+   */
+  public void applyRecoveredUse(String program, Map<String, ReportedUse> useByHolder, long nowMs) {
+    Account account = accounts.computeIfAbsent(program, name -> new Account());
+    account.lastUsedAtMs = nowMs;
+    useByHolder.forEach(
+        (reporter, use) -> {
+          account.reportedUsed = Math.max(account.reportedUsed, use.usedTokens());
+          boolean isRecorded =
+              account.lastGranter.equals(reporter) && use.isCoveredBy(account.granted);
+          if (!isRecorded && !reporter.equals(holder)) {
+            account.unrecordedByHolder.put(reporter, use);
+          }
+        });
+  }
+
+  /**
+   * The use of a program's budget that a holder has reported.
+   *
+   * @param usedTokens tokens used by all holders, as far as the reporting holder knew
+   * @param unrecordedTokens tokens that the reporting holder had used beyond its slices
+   */
+  public record ReportedUse(long usedTokens, long unrecordedTokens) {
+
+    /**
+     * Returns whether a record of the same holder was written after the report. A holder that uses
+     * more than its slices has used all that was granted, so what it has used besides tells how
+     * much was granted when it reported.
+     */
+    boolean isCoveredBy(long grantedTokens) {
+      return grantedTokens > usedTokens - unrecordedTokens;
+    }
+
+    /** Returns the report of the larger use. */
+    public ReportedUse max(ReportedUse other) {
+      return other.unrecordedTokens > unrecordedTokens ? other : this;
+    }
+  }
+
+  /** Returns the use of each holder that no record covers, by the name of the holder. */
+  public Map<String, Long> unrecordedUse(String program) {
+    Account account = accounts.get(program);
+    if (account == null) {
+      return Map.of();
+    }
+    Map<String, Long> unrecorded = new HashMap<>();
+    account.unrecordedByHolder.forEach((name, use) -> unrecorded.put(name, use.unrecordedTokens()));
+    if (ownUnrecorded(account) > 0) {
+      unrecorded.put(holder, ownUnrecorded(account));
+    }
+    return Map.copyOf(unrecorded);
+  }
+
   /** Returns the tokens that this holder has used for a program beyond its recorded slices. */
   public long unrecordedTokens(String program) {
     Account account = accounts.get(program);
@@ -236,13 +341,24 @@
   /** Reserves the maximum number of tokens of a turn while the store is unavailable. */
   public ReservationResult reserveOffline(
       String program, long budgetTokens, long turnTokens, long nowMs) {
+    return reserveOffline(program, budgetTokens, turnTokens, 1, nowMs);
+  }
+
+  /**
+   * Reserves the maximum number of tokens of a turn while the store is unavailable.
+   *
+   * @param deciders number of holders that may decide at the same time without knowing of each
+   *     other: one more than the data centres that cannot be reached
+   */
+  public ReservationResult reserveOffline(
+      String program, long budgetTokens, long turnTokens, int deciders, long nowMs) {
     Account account = account(program, budgetTokens, turnTokens, nowMs);
     if (usedTokens(account) + turnTokens > account.budget) {
       return ReservationResult.EXHAUSTED;
     }
     long unrecorded =
         account.ownUsed + turnTokens - account.ownGranted + unrecordedByOthers(account);
-    if (unrecorded > offlineLimit(account, turnTokens)) {
+    if (unrecorded > offlineLimit(account, turnTokens, deciders)) {
       return ReservationResult.WAIT;
     }
     account.reportedUsed = usedTokens(account) + turnTokens;
@@ -288,8 +404,11 @@
           account.sliceNeeded
               ? nextSliceTokens(account)
               : Math.min(ungranted(account), ownUnrecorded(account));
-      if (amount > 0 && grants.size() < MAX_RECORDS_PER_APPEND) {
-        grants.add(new Grant(each.getKey(), account.granted + amount, holder));
+      if (grants.size() < MAX_RECORDS_PER_APPEND) {
+        long granted = addTakenOverUse(each.getKey(), account, grants);
+        if (amount > 0) {
+          grants.add(new Grant(each.getKey(), granted + amount, holder));
+        }
       }
     }
     if (grants.isEmpty() && expiredPrograms.size() < MAX_RECORDS_PER_APPEND) {
@@ -301,6 +420,15 @@
     return Optional.of(new Append(end, grants, expiredPrograms));
   }
 
+  private static long addTakenOverUse(String program, Account account, List<Grant> grants) {
+    long granted = account.granted;
+    for (String ended : account.endedHolders) {
+      granted += account.unrecordedByHolder.get(ended).unrecordedTokens();
+      grants.add(new Grant(program, granted, ended));
+    }
+    return granted;
+  }
+
   /** Completes the append in progress after it succeeded. */
   public void appendSucceeded(Append append, long newEnd, long nowMs) {
     appending = false;
@@ -348,7 +476,12 @@
     }
     account.granted = grant.grantedTokens();
     account.lastGranter = grant.holder();
-    account.unrecordedByHolder.remove(grant.holder());
+    // A record that is older than the holder's last report does not cover it.
+    ReportedUse reported = account.unrecordedByHolder.get(grant.holder());
+    if (reported != null && reported.isCoveredBy(grant.grantedTokens())) {
+      account.unrecordedByHolder.remove(grant.holder());
+      account.endedHolders.remove(grant.holder());
+    }
     account.lastUsedAtMs = Math.max(account.lastUsedAtMs, nowMs);
   }
 
@@ -360,10 +493,20 @@
     return account;
   }
 
-  private static long offlineLimit(Account account, long turnTokens) {
-    boolean large = account.budget >= LARGE_BUDGET_TURNS * account.maxTurnTokens;
+  private static boolean isLarge(Account account) {
+    return account.budget >= LARGE_BUDGET_TURNS * account.maxTurnTokens;
+  }
+
+  private static long offlineLimit(Account account, long turnTokens, int deciders) {
     long minimum = OFFLINE_TURNS * turnTokens;
-    return large ? Math.max(minimum, account.budget / OFFLINE_BUDGET_DIVISOR) : minimum;
+    if (!isLarge(account)) {
+      return minimum;
+    }
+    long limit = account.budget / OFFLINE_BUDGET_DIVISOR;
+    if (deciders > 1) {
+      limit = Math.min(limit, ungranted(account) / deciders);
+    }
+    return Math.max(minimum, limit);
   }
 
   private static long nextSliceTokens(Account account) {
@@ -378,9 +521,11 @@
   }
 
   private static long usedTokens(Account account) {
-    long known =
-        account.granted - account.ownGranted + account.ownUsed + unrecordedByOthers(account);
-    return Math.max(known, account.reportedUsed);
+    return Math.max(knownUse(account), account.reportedUsed);
+  }
+
+  private static long knownUse(Account account) {
+    return account.granted - account.ownGranted + account.ownUsed + unrecordedByOthers(account);
   }
 
   private static long ungranted(Account account) {
@@ -389,8 +534,8 @@
 
   private static long unrecordedByOthers(Account account) {
     long sum = 0;
-    for (long each : account.unrecordedByHolder.values()) {
-      sum += each;
+    for (ReportedUse each : account.unrecordedByHolder.values()) {
+      sum += each.unrecordedTokens();
     }
     return sum;
   }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowancePartitionTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowancePartitionTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
@@ -369,4 +370,128 @@
           holder.reserveOffline(PROGRAM, BUDGET_TOKENS, TURN_TOKENS, 0));
     }
   }
+
+  @Nested
+  @DisplayName("after another holder has ended in an outage of the store")
+  class AfterOutage {
+
+    private static final Grant SLICE = new Grant(PROGRAM, 3 * TURN_TOKENS, "vm-2/1");
+
+    private final AllowancePartition ended = new AllowancePartition("vm-2/1");
+
+    @Test
+    @DisplayName("keeps counting use that was reported after the newest record")
+    void olderRecordDoesNotCoverUse() {
+      holder.applyReportedUsage(PROGRAM, "vm-2/1", 7 * TURN_TOKENS, 4 * TURN_TOKENS, 0);
+
+      holder.load(List.of(SLICE), 1, 0);
+
+      assertEquals(1, countGrantedTurns(holder));
+    }
+
+    @Test
+    @DisplayName("stops counting use that a later record covers")
+    void laterRecordCoversUse() {
+      holder.applyReportedUsage(PROGRAM, "vm-2/1", 7 * TURN_TOKENS, 4 * TURN_TOKENS, 0);
+
+      holder.load(List.of(new Grant(PROGRAM, 6 * TURN_TOKENS, "vm-2/1")), 1, 0);
+
+      assertEquals(2, countGrantedTurns(holder));
+    }
+
+    @Test
+    @DisplayName("counts the use that other VMs remember, once")
+    void rememberedUseIsCounted() {
+      holder.load(List.of(SLICE), 1, 0);
+      for (int i = 0; i < 2; i++) {
+        holder.applyRecoveredUse(
+            PROGRAM,
+            Map.of("vm-2/1", new AllowancePartition.ReportedUse(7 * TURN_TOKENS, 4 * TURN_TOKENS)),
+            0);
+      }
+
+      assertEquals(1, countGrantedTurns(holder));
+    }
+
+    @Test
+    @DisplayName("records the use in the name of the ended holder")
+    void useIsRecordedForEndedHolder() {
+      holder.load(List.of(SLICE), 1, 0);
+      holder.applyReportedUsage(PROGRAM, "vm-2/1", 7 * TURN_TOKENS, 4 * TURN_TOKENS, 0);
+      holder.takeOverUse("vm-2/1"::equals);
+
+      AllowancePartition.Append append = holder.nextAppend(0).orElseThrow();
+
+      assertEquals(List.of(new Grant(PROGRAM, 7 * TURN_TOKENS, "vm-2/1")), append.grants());
+      holder.appendSucceeded(append, 2, 0);
+      assertEquals(Map.of(), holder.unrecordedUse(PROGRAM));
+      assertEquals(1, countGrantedTurns(holder));
+    }
+
+    @Test
+    @DisplayName("writes a record that a holder which still runs takes for its own")
+    void runningHolderTakesRecordForItsOwn() {
+      ended.load(List.of(SLICE), 1, 0);
+      while (ended.reserveOffline(PROGRAM, BUDGET_TOKENS, TURN_TOKENS, 0)
+          == ReservationResult.GRANTED) {
+        // Uses its limit.
+      }
+      long unrecorded = ended.unrecordedTokens(PROGRAM);
+      assertTrue(unrecorded > 0);
+
+      ended.applyRecords(List.of(new Grant(PROGRAM, 3 * TURN_TOKENS + unrecorded, "vm-2/1")), 2, 0);
+
+      assertEquals(0, ended.unrecordedTokens(PROGRAM));
+    }
+
+    @Test
+    @DisplayName("assumes that the largest use from memory was forgotten if no VM remembers")
+    void forgottenUseIsAssumed() {
+      holder.load(List.of(SLICE), 1, 0);
+
+      holder.assumeForgottenUse(PROGRAM, BUDGET_TOKENS, TURN_TOKENS, 0);
+
+      assertEquals(1, countGrantedTurns(holder));
+    }
+
+    @Test
+    @DisplayName("leaves a small budget whole, because the tolerance covers the forgotten turn")
+    void smallBudgetStaysWhole() {
+      holder.load(List.of(), 0, 0);
+
+      holder.assumeForgottenUse(PROGRAM, 2 * TURN_TOKENS, TURN_TOKENS, 0);
+
+      assertTrue(holder.unrecordedUse(PROGRAM).isEmpty());
+    }
+
+    @Test
+    @DisplayName("divides what is left of a large budget among data centres without contact")
+    void unawareDecidersShareRest() {
+      long used = 0;
+      for (String each : List.of("vm-1/1", "vm-2/1")) {
+        AllowancePartition isolated = new AllowancePartition(each);
+        isolated.load(List.of(new Grant(PROGRAM, 3 * TURN_TOKENS, "vm-3/1")), 1, 0);
+        while (isolated.reserveOffline(PROGRAM, BUDGET_TOKENS, TURN_TOKENS, 2, 0)
+            == ReservationResult.GRANTED) {
+          used += TURN_TOKENS;
+        }
+      }
+
+      assertTrue(3 * TURN_TOKENS + used <= BUDGET_TOKENS, used + " tokens besides the record");
+    }
+
+    private int countGrantedTurns(AllowancePartition at) {
+      int turns = 0;
+      for (int i = 0; i < 100; i++) {
+        switch (reserve(at)) {
+          case GRANTED -> turns++;
+          case WAIT -> record(at);
+          default -> {
+            return turns;
+          }
+        }
+      }
+      return turns;
+    }
+  }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -14,8 +14,12 @@
 import io.vertx.core.Vertx;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -46,6 +50,7 @@
   private final List<Runnable> waitingDecisions = new ArrayList<>();
   private Future<Void> pendingLoad;
   private long callStartedMs = NO_CALL;
+  private Consumer<PeerMessage.UsageNote> recordListener = note -> {};
   private boolean released;
 
   AllowanceHolder(
@@ -65,13 +70,23 @@
     this.partition = new AllowancePartition(holder);
   }
 
+  /**
+   * Sets the listener that receives a note for each holder whose use from memory has been recorded
+   * by this VM, so that other VMs stop counting it separately.
+   */
+  void setRecordListener(Consumer<PeerMessage.UsageNote> listener) {
+    recordListener = listener;
+  }
+
   /**
    * Decides on a turn. Decides from memory only if this VM's own calls to the store fail, even if
    * the requesting VM cannot reach the store: when both sides of a network partition decide from
    * memory, two turns too many are granted.
+   *
+   * @param deciders number of VMs that may decide at the same time without knowing of each other
    */
   Future<TokenBudgets.Verdict> reserve(
-      String program, long budgetTokens, long turnTokens, TokenBudgets.Mode mode) {
+      String program, long budgetTokens, long turnTokens, int deciders, TokenBudgets.Mode mode) {
     if (mode == TokenBudgets.Mode.OWN_SLICE) {
       return Future.succeededFuture(
           toVerdict(partition.reserveFromOwnSlices(program, turnTokens, clock.millis())));
@@ -84,7 +99,7 @@
         return Future.succeededFuture(TokenBudgets.Verdict.UNABLE);
       }
       ReservationResult decision =
-          partition.reserveOffline(program, budgetTokens, turnTokens, clock.millis());
+          partition.reserveOffline(program, budgetTokens, turnTokens, deciders, clock.millis());
       return Future.succeededFuture(
           decision == ReservationResult.WAIT ? TokenBudgets.Verdict.WITHHELD : toVerdict(decision));
     }
@@ -129,8 +144,61 @@
         partition.unrecordedTokens(program));
   }
 
-  /** Records turns that were granted without a record, once the store can be reached. */
-  void recordUnrecordedTurns() {
+  /** Returns the use of a program's budget that no record covers, of each holder. */
+  List<PeerMessage.UsageNote> unrecordedUse(String program) {
+    List<PeerMessage.UsageNote> notes = new ArrayList<>();
+    long usedTokens = partition.usedTokens(program);
+    partition
+        .unrecordedUse(program)
+        .forEach(
+            (holder, tokens) ->
+                notes.add(new PeerMessage.UsageNote(program, holder, usedTokens, tokens)));
+    return notes;
+  }
+
+  /** Loads the records if they can be read, and applies what other VMs know of a program's use. */
+  Future<Void> recoverUse(
+      String program, long turnTokens, List<PeerMessage.AllowanceReply> replies) {
+    return ensureLoaded()
+        .otherwiseEmpty()
+        .onSuccess(loaded -> applyRecoveredUse(program, turnTokens, replies));
+  }
+
+  private void applyRecoveredUse(
+      String program, long turnTokens, List<PeerMessage.AllowanceReply> replies) {
+    Map<String, AllowancePartition.ReportedUse> reported = new HashMap<>();
+    long unattributedTokens = 0;
+    for (PeerMessage.AllowanceReply reply : replies) {
+      if (reply.unrecorded() == null) {
+        unattributedTokens = Math.max(unattributedTokens, reply.usedTokens());
+        continue;
+      }
+      for (PeerMessage.UsageNote note : reply.unrecorded()) {
+        reported.merge(
+            note.holder(),
+            new AllowancePartition.ReportedUse(note.usedTokens(), note.unrecordedTokens()),
+            AllowancePartition.ReportedUse::max);
+      }
+    }
+    partition.applyRecoveredUse(program, reported, clock.millis());
+    // Such reports still count running turns with their maximum, so one turn may be no lost use.
+    if (partition.isLoaded() && unattributedTokens > partition.usedTokens(program) + turnTokens) {
+      partition.adoptUse(program, unattributedTokens, clock.millis());
+    }
+  }
+
+  /** Counts the use that may have been forgotten by holders that all ended in an outage. */
+  void assumeForgottenUse(String program, long budgetTokens, long turnTokens) {
+    partition.assumeForgottenUse(program, budgetTokens, turnTokens, clock.millis());
+  }
+
+  /**
+   * Records turns that were granted without a record, once the store can be reached.
+   *
+   * @param hasEnded whether the holder of a name has ended, so that this one records its turns
+   */
+  void recordUnrecordedTurns(Predicate<String> hasEnded) {
+    partition.takeOverUse(hasEnded);
     if (released || health.isUnavailable() || !partition.needsRecord()) {
       return;
     }
@@ -233,6 +301,7 @@
       return;
     }
     AllowancePartition.Append append = next.get();
+    List<Grant> coversUse = append.grants().stream().filter(this::coversUnrecordedUse).toList();
     long startedMs = clock.millis();
     trackCallStart(
             store.append(
@@ -244,11 +313,24 @@
         .onSuccess(
             end -> {
               partition.appendSucceeded(append, end, clock.millis());
+              coversUse.forEach(this::reportRecord);
               decideWaiting();
             })
         .onFailure(this::onAppendFailed);
   }
 
+  private boolean coversUnrecordedUse(Grant grant) {
+    return partition.unrecordedUse(grant.program()).containsKey(grant.holder());
+  }
+
+  private void reportRecord(Grant grant) {
+    if (!coversUnrecordedUse(grant)) {
+      recordListener.accept(
+          new PeerMessage.UsageNote(
+              grant.program(), grant.holder(), partition.usedTokens(grant.program()), 0));
+    }
+  }
+
   private void onAppendFailed(Throwable cause) {
     if (cause instanceof StoreException failure && failure.kind() == StoreException.Kind.NOT_DONE) {
       partition.appendFailed();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
@@ -11,6 +11,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -48,12 +49,15 @@
   private static final long REQUEST_TIMEOUT_MS =
       AllowanceHolder.DECISION_TIMEOUT_MS + PEER_DELAY_MS;
 
+  private static final int WITNESSES_PER_DATA_CENTRE = 2;
+
   private static final Verdict[] VERDICTS = Verdict.values();
   private static final Mode[] MODES = Mode.values();
 
   private final VmEntry self;
   private final VmDirectory vmDirectory;
   private final PeerConnections peers;
+  private final UsageRecovery recovery;
   private final IntFunction<AllowanceHolder> holderFactory;
   private final Map<Integer, AllowanceHolder> holders = new HashMap<>();
   private final int partitions;
@@ -73,19 +77,23 @@
             }
           });
 
+  /** The partitions of the budgets, and how this VM's view of one is created. */
+  record Partitions(int count, IntFunction<AllowanceHolder> holderFactory) {}
+
   AllowanceService(
       VmEntry self,
       VmDirectory vmDirectory,
       PeerConnections peers,
-      IntFunction<AllowanceHolder> holderFactory,
-      int partitions,
+      UsageRecovery recovery,
+      Partitions partitions,
       DecisionLog log,
       GatewayMetrics metrics) {
     this.self = self;
     this.vmDirectory = vmDirectory;
     this.peers = peers;
-    this.holderFactory = holderFactory;
-    this.partitions = Math.max(1, partitions);
+    this.recovery = recovery;
+    this.holderFactory = partitions.holderFactory();
+    this.partitions = Math.max(1, partitions.count());
     this.log = log;
     this.metrics = metrics;
   }
@@ -141,10 +149,27 @@
   void maintain() {
     for (int partition = 0; partition < partitions; partition++) {
       if (localCandidates(partition, LOCAL_CANDIDATES).contains(self)) {
-        holders.computeIfAbsent(partition, holderFactory::apply).ensureLoaded();
+        holderOf(partition).ensureLoaded();
       }
     }
-    holders.values().forEach(AllowanceHolder::recordUnrecordedTurns);
+    holders.values().forEach(holder -> holder.recordUnrecordedTurns(this::hasEnded));
+  }
+
+  private boolean hasEnded(String holder) {
+    int end = holder.indexOf(HOLDER_SEPARATOR);
+    if (end < 0) {
+      return false;
+    }
+    VmId vm = new VmId(holder.substring(0, end));
+    if (vm.equals(self.vm())) {
+      return true;
+    }
+    Optional<VmEntry> entry = vmDirectory.findIncludingDeparted(vm);
+    if (entry.isEmpty()) {
+      return false;
+    }
+    return !vmDirectory.isPresent(vm)
+        || peers.unreachableForMs(entry.get().address()) > HOLDER_LOST_AFTER_MS;
   }
 
   int loadedPartitions() {
@@ -162,8 +187,24 @@
     if (draining && mode != Mode.OWN_SLICE) {
       return Future.succeededFuture(Verdict.UNABLE);
     }
+    Turn turn = new Turn(program, budgetTokens, turnTokens);
+    if (mode == Mode.OWN_SLICE || !recovery.isNeeded(program)) {
+      return decide(turn, mode);
+    }
+    AllowanceHolder holder = holderOf(program);
+    return recovery
+        .recover(program, budgetTokens, turnTokens, holder, witnesses(partitionOf(program)))
+        .compose(
+            known -> {
+              holder.recordUnrecordedTurns(this::hasEnded);
+              return known ? decide(turn, mode) : Future.succeededFuture(Verdict.UNABLE);
+            });
+  }
+
+  private Future<Verdict> decide(Turn turn, Mode mode) {
+    String program = turn.program();
     return holderOf(program)
-        .reserve(program, budgetTokens, turnTokens, mode)
+        .reserve(program, turn.budgetTokens(), turn.turnTokens(), unawareDeciders(), mode)
         .onSuccess(
             verdict -> {
               if (verdict == Verdict.GRANTED) {
@@ -172,6 +213,52 @@
             });
   }
 
+  /** Returns what this VM knows of the use of a program's budget. */
+  PeerMessage.AllowanceReply history(PeerMessage.AllowanceRequest request) {
+    return new PeerMessage.AllowanceReply(
+        request.request(),
+        request.program(),
+        0,
+        Verdict.UNABLE.name(),
+        localUsedTokens(request.program()),
+        localNewestSliceHolder(request.program()).orElse(""),
+        holderOf(request.program()).unrecordedUse(request.program()),
+        recovery.isRestarted(),
+        recovery.startedInOutage());
+  }
+
+  /**
+   * Returns the VMs that may remember turns that were granted from memory: the first ones of each
+   * data centre, also those that came after a VM that has ended.
+   */
+  private List<VmEntry> witnesses(int partition) {
+    Map<String, Integer> countByDataCentre = new HashMap<>();
+    List<VmEntry> witnesses = new ArrayList<>();
+    for (VmEntry vm : ranked(partition)) {
+      if (!vm.vm().equals(self.vm())
+          && countByDataCentre.merge(vm.dataCentre(), 1, Integer::sum)
+              <= WITNESSES_PER_DATA_CENTRE) {
+        witnesses.add(vm);
+      }
+    }
+    return witnesses;
+  }
+
+  // Each data centre that cannot be reached may decide by itself.
+  private int unawareDeciders() {
+    Set<String> unreachable = new HashSet<>();
+    for (VmEntry vm : vmDirectory.all()) {
+      unreachable.add(vm.dataCentre());
+    }
+    for (VmEntry vm : vmDirectory.all()) {
+      if (vm.vm().equals(self.vm()) || !peers.isUnreachable(vm.address())) {
+        unreachable.remove(vm.dataCentre());
+      }
+    }
+    unreachable.remove(self.dataCentre());
+    return unreachable.size() + 1;
+  }
+
   void settleLocally(String program, long reservedTokens, long deliveredTokens) {
     holderOf(program).settle(program, reservedTokens, deliveredTokens);
   }
@@ -330,11 +417,14 @@
 
   // A decision from memory has no record, so its usage goes to all VMs of this data centre.
   private void replicateUsage(String program, Mode mode) {
-    PeerMessage.UsageNote note = holderOf(program).usageNote(program);
-    int partition = partitionOf(program);
+    int maxLocal = mode == Mode.RECORDED ? LOCAL_CANDIDATES : Integer.MAX_VALUE;
+    sendNote(holderOf(program).usageNote(program), maxLocal);
+  }
+
+  private void sendNote(PeerMessage.UsageNote note, int maxLocal) {
+    int partition = partitionOf(note.program());
     Set<VmEntry> receivers = new LinkedHashSet<>(firstOfEachDataCentre(partition));
-    receivers.addAll(
-        localCandidates(partition, mode == Mode.RECORDED ? LOCAL_CANDIDATES : Integer.MAX_VALUE));
+    receivers.addAll(localCandidates(partition, maxLocal));
     for (VmEntry receiver : receivers) {
       if (!receiver.vm().equals(self.vm())) {
         peers.sendNotification(receiver.address(), note);
@@ -409,7 +499,17 @@
   }
 
   private AllowanceHolder holderOf(String program) {
-    return holders.computeIfAbsent(partitionOf(program), holderFactory::apply);
+    return holderOf(partitionOf(program));
+  }
+
+  private AllowanceHolder holderOf(int partition) {
+    return holders.computeIfAbsent(
+        partition,
+        number -> {
+          AllowanceHolder holder = holderFactory.apply(number);
+          holder.setRecordListener(note -> sendNote(note, Integer.MAX_VALUE));
+          return holder;
+        });
   }
 
   private int partitionOf(String program) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -203,8 +203,10 @@
         self,
         vmDirectory,
         peers,
-        number -> new AllowanceHolder(vertx, store, storeHealth, clock, log, holder, number),
-        settings.storePartitions(),
+        new UsageRecovery(peers, storeHealth, clock, log, settings.firstStart()),
+        new AllowanceService.Partitions(
+            settings.storePartitions(),
+            number -> new AllowanceHolder(vertx, store, storeHealth, clock, log, holder, number)),
         log,
         metrics);
   }
@@ -481,6 +483,10 @@
     return peerMessageHandler.isAwaitingPeerState();
   }
 
+  boolean isStoreUnavailable() {
+    return storeHealth.isUnavailable();
+  }
+
   int clientPort() {
     return clientPort;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -174,6 +174,9 @@
   @Override
   public Future<PeerMessage> onRequest(PeerMessage request) {
     if (request instanceof PeerMessage.AllowanceRequest allowanceRequest) {
+      if (allowanceRequest.mode().equals(TokenBudgets.Mode.HISTORY.name())) {
+        return Future.succeededFuture(allowances.history(allowanceRequest));
+      }
       return allowances
           .reserveLocally(
               allowanceRequest.program(),
@@ -188,7 +191,10 @@
                       allowanceRequest.turnTokens(),
                       verdict.name(),
                       allowances.localUsedTokens(allowanceRequest.program()),
-                      allowances.localNewestSliceHolder(allowanceRequest.program()).orElse("")));
+                      allowances.localNewestSliceHolder(allowanceRequest.program()).orElse(""),
+                      List.of(),
+                      false,
+                      false));
     }
     if (request instanceof PeerMessage.PermitRequest permitRequest) {
       return Future.succeededFuture(requestPermits.onRequest(permitRequest));
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
@@ -32,6 +32,8 @@
   private final InstantSource clock;
   private final DecisionLog log;
   private long lastSuccessMs;
+  private boolean hasSucceeded;
+  private boolean startedInOutage;
   private long failingSinceMs = Long.MAX_VALUE;
   private long outageEndedMs = Long.MIN_VALUE / 2;
   private boolean outageConfirmed;
@@ -54,6 +56,7 @@
       outageEndedMs = nowMs;
     }
     outageConfirmed = false;
+    hasSucceeded = true;
     if (outageLogged) {
       outageLogged = false;
       log.line("dependency_regained")
@@ -73,6 +76,7 @@
    */
   void recordFailure(Throwable cause, long startedMs) {
     outageConfirmed |= startedMs >= lastSuccessMs;
+    startedInOutage |= !hasSucceeded;
     failingSinceMs = Math.min(failingSinceMs, clock.millis());
     if (isUnavailable() && !outageLogged) {
       outageLogged = true;
@@ -84,6 +88,11 @@
     }
   }
 
+  /** Returns whether a call failed before the first one succeeded. */
+  boolean startedInOutage() {
+    return startedInOutage;
+  }
+
   /** Records the duration of a call that was not a long poll. */
   void recordCallTime(long elapsedMs) {
     lastSlowCallMs = elapsedMs >= SLOW_MS ? clock.millis() : Long.MIN_VALUE / 2;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TokenBudgets.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TokenBudgets.java
@@ -16,7 +16,12 @@
     /** From memory, even if the holder has not loaded the records. */
     BLIND,
     /** Only within slices that the holder has and that other VMs count as spent. */
-    OWN_SLICE
+    OWN_SLICE,
+    /**
+     * Reserves nothing and reports the use that is known. Earlier releases take it for {@link
+     * #RECORDED} and report the use of a turn without tokens.
+     */
+    HISTORY
   }
 
   /** The result of a reservation. */
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -327,7 +327,7 @@
   void restartVm() {
     Await.result(vmVertx.close());
     vmVertx = TestRuntime.singleLoopVertx();
-    vm = startVm(vmVertx, storePort, "vm-1", "dc", List.of());
+    vm = startVm(vmVertx, storePort, "vm-1", "dc", List.of(), false);
   }
 
   /** Restarts the first VM with the second one as its seed. */
@@ -335,7 +335,7 @@
     Await.result(vmVertx.close());
     vmVertx = TestRuntime.singleLoopVertx();
     List<HostPort> seeds = List.of(new HostPort("127.0.0.1", secondVm.peerPort()));
-    vm = startVm(vmVertx, storePort, "vm-1", "dc", seeds);
+    vm = startVm(vmVertx, storePort, "vm-1", "dc", seeds, false);
   }
 
   /** Starts a second VM in another data centre, with the same store. */
@@ -369,6 +369,10 @@
     return links;
   }
 
+  boolean storeUnavailable() {
+    return Await.result(TestRuntime.callOnContext(vmVertx, () -> vm.isStoreUnavailable()));
+  }
+
   /** Pauses the first VM, as a freeze of its process does, until the result runs. */
   Runnable pauseVm() {
     return TestRuntime.pause(vmVertx);
@@ -538,6 +542,16 @@
 
   private static GatewayNode startVm(
       Vertx runtime, int storePort, String name, String dataCentre, List<HostPort> seeds) {
+    return startVm(runtime, storePort, name, dataCentre, seeds, true);
+  }
+
+  private static GatewayNode startVm(
+      Vertx runtime,
+      int storePort,
+      String name,
+      String dataCentre,
+      List<HostPort> seeds,
+      boolean firstStart) {
     BootSettings settings =
         new BootSettings(
             new VmId(name),
@@ -549,7 +563,7 @@
             new HostPort("127.0.0.1", storePort),
             2,
             800,
-            true,
+            firstStart,
             8_000,
             2_000,
             2_000);
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -155,6 +155,11 @@
    * @param usedTokens tokens that the holder knows to be used; running turns count with their
    *     maximum
    * @param granter the name of another holder that has the newest slice; empty if there is none
+   * @param unrecorded the use of each holder that no record covers, as far as the sender knows;
+   *     null from releases that do not report it
+   * @param restarted whether the sender started after the program may have begun, so that it may
+   *     not know earlier use
+   * @param startedInOutage whether the store was unavailable when the sender started
    */
   record AllowanceReply(
       long request,
@@ -162,8 +167,17 @@
       long turnTokens,
       String verdict,
       long usedTokens,
-      String granter)
-      implements PeerMessage {}
+      String granter,
+      List<UsageNote> unrecorded,
+      boolean restarted,
+      boolean startedInOutage)
+      implements PeerMessage {
+
+    /** Makes a defensive copy of the list. */
+    public AllowanceReply {
+      unrecorded = unrecorded == null ? null : List.copyOf(unrecorded);
+    }
+  }
 
   /**
    * Replicates the usage of a program's budget to a VM that may become its holder.
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -47,7 +47,16 @@
   private static Stream<PeerMessage> gatewayMessages() {
     return Stream.of(
         new PeerMessage.AllowanceRequest(1, "p1", 300, 100, "RECORDED"),
-        new PeerMessage.AllowanceReply(1, "p1", 100, "EXHAUSTED", 160, "vm-2/7"),
+        new PeerMessage.AllowanceReply(
+            1,
+            "p1",
+            100,
+            "EXHAUSTED",
+            160,
+            "vm-2/7",
+            List.of(new PeerMessage.UsageNote("p1", "vm-1/3", 160, 60)),
+            true,
+            true),
         new PeerMessage.AllowanceSettlement("p1", 100, 60),
         new PeerMessage.UsageNote("p1", "vm-2/7", 160, 20),
         new PeerMessage.BudgetExhausted("p1"),
