Count crashes against requests that are not retried

A payment that crashed each engine that ran it was never refused; it took one engine after the other, and the payments of others with them.

Cause: a crash was recognised by the retry, whose connection failed. A request that may run only once, and a stream that may not be resumed, is answered 502 after its first broken connection, so no crash was ever counted for it.

Change: the client gets 502 as before; the endpoint is then probed after 20 and 200 ms, by every path. If none reaches it, the crash is counted and reported as those of retried requests are. A VM that starts gets the suspected requests with its peers' routing state (a new field, which earlier releases skip). A second crash of an endpoint that kept its id counts. A request that an endpoint completes is no longer suspected, so that a request sent by many clients is not refused because engines crash for other reasons.

The text of a malformed request is no longer a label of the refusal metric.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/retry/Quarantine.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/retry/Quarantine.java
@@ -1,7 +1,7 @@
 package io.magnoliaroute.core.retry;
 
 import io.magnoliaroute.core.model.EndpointId;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -13,11 +13,11 @@
  *
  * <p>A request is suspected after its first crash and quarantined, that is, refused for a limited
  * time, once it has crashed {@link QuarantineSettings#maxEndpoints()} endpoints. A successful
- * response does not clear the suspicion, because some requests crash an endpoint only
- * intermittently; the suspicion expires instead. Callers should not place two suspected requests on
- * the same endpoint, because a crash caused by one of them could be attributed to the other. The
- * {@code RequestQuarantined} record in the {@code control} stream informs other VMs. Not
- * thread-safe; the caller must guard it with a lock.
+ * response does not clear the suspicion by itself, because some requests crash an endpoint only
+ * intermittently; the suspicion expires instead, or the caller clears it. Callers should not place
+ * two suspected requests on the same endpoint, because a crash caused by one of them could be
+ * attributed to the other. The {@code RequestQuarantined} record in the {@code control} stream
+ * informs other VMs. Not thread-safe; the caller must guard it with a lock.
  */
 public final class Quarantine {
 
@@ -25,8 +25,12 @@
   private final Map<Fingerprint, SuspectedRequest> suspects = new LinkedHashMap<>();
   private final Map<Fingerprint, Long> quarantinedUntilMs = new LinkedHashMap<>();
 
+  /** Reports of one crash by several VMs arrive within this time, before the next start. */
+  static final long MIN_RESTART_MS = 1_500;
+
   private static final class SuspectedRequest {
-    private final Set<EndpointId> crashedEndpoints = new HashSet<>();
+    private final Map<EndpointId, Long> crashedAtMs = new HashMap<>();
+    private int crashes;
     private long lastCrashMs;
   }
 
@@ -55,7 +59,7 @@
     if (suspect == null || isExpired(suspect, nowMs)) {
       return Set.of();
     }
-    return Set.copyOf(suspect.crashedEndpoints);
+    return Set.copyOf(suspect.crashedAtMs.keySet());
   }
 
   /** Returns whether the request has recently crashed an endpoint; such requests are not hedged. */
@@ -64,8 +68,9 @@
   }
 
   /**
-   * Records that an endpoint crashed while it ran the request. Returns the record to append if the
-   * request has now crashed the maximum number of endpoints.
+   * Records that an endpoint crashed while it ran the request; an endpoint that has started again
+   * since counts once more. Returns the record to append if the request has now crashed the maximum
+   * number of endpoints.
    */
   public Optional<QuarantineEntry> recordCrash(
       Fingerprint fingerprint, EndpointId endpoint, long nowMs) {
@@ -73,9 +78,12 @@
     if (suspect == null || isExpired(suspect, nowMs)) {
       suspect = new SuspectedRequest();
     }
-    suspect.crashedEndpoints.add(endpoint);
+    Long previousMs = suspect.crashedAtMs.put(endpoint, nowMs);
+    if (previousMs == null || nowMs - previousMs >= MIN_RESTART_MS) {
+      suspect.crashes++;
+    }
     suspect.lastCrashMs = nowMs;
-    if (suspect.crashedEndpoints.size() < settings.maxEndpoints()) {
+    if (suspect.crashes < settings.maxEndpoints()) {
       suspects.put(fingerprint, suspect);
       evictOldest(suspects);
       return Optional.empty();
@@ -96,6 +104,23 @@
     evictOldest(quarantinedUntilMs);
   }
 
+  /** Clears the suspicion against a request; a quarantine stays in force. */
+  public void clearSuspicion(Fingerprint fingerprint) {
+    suspects.remove(fingerprint);
+  }
+
+  /** Returns the suspected requests, each with the endpoints that it has crashed. */
+  public Map<Fingerprint, Set<EndpointId>> suspectedRequests(long nowMs) {
+    Map<Fingerprint, Set<EndpointId>> result = new LinkedHashMap<>();
+    suspects.forEach(
+        (fingerprint, suspect) -> {
+          if (!isExpired(suspect, nowMs)) {
+            result.put(fingerprint, Set.copyOf(suspect.crashedAtMs.keySet()));
+          }
+        });
+    return result;
+  }
+
   /** Removes expired quarantines and suspicions. */
   public void removeExpired(long nowMs) {
     quarantinedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/retry/QuarantineTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/retry/QuarantineTest.java
@@ -40,6 +40,14 @@
     assertEquals(Optional.empty(), quarantine.recordCrash(CRASHING, FIRST, 1));
   }
 
+  /** Guards against a request that crashes each start of an endpoint that keeps its id. */
+  @Test
+  void crashesOfSeveralStartsOfOneEndpointAreCounted() {
+    Quarantine longSuspicion = new Quarantine(new QuarantineSettings(2, 60_000, 5_000, 3));
+    assertEquals(Optional.empty(), longSuspicion.recordCrash(CRASHING, FIRST, 0));
+    assertTrue(longSuspicion.recordCrash(CRASHING, FIRST, Quarantine.MIN_RESTART_MS).isPresent());
+  }
+
   /** Guards against a request that is quarantined for crashes hours apart. */
   @Test
   void suspicionExpires() {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
@@ -261,7 +261,7 @@
         RequestMetadata metadata = RequestHeaderCodec.decode(request.headers());
         startExchange(route.get(), metadata);
       } catch (PlatformFormatException e) {
-        reject(BAD_REQUEST, e.getMessage(), 0);
+        reject(BAD_REQUEST, "malformed request", e.getMessage(), 0);
       }
     }
 
@@ -291,10 +291,15 @@
       } else if (cause instanceof TooLongHttpHeaderException) {
         status = HEADER_TOO_LARGE;
       }
-      reject(status, "malformed request: " + cause.getMessage(), 0);
+      reject(status, "malformed request", String.valueOf(cause.getMessage()), 0);
     }
 
     private void reject(int status, String reason, long retryAfterMs) {
+      reject(status, reason, "", retryAfterMs);
+    }
+
+    // The detail may contain text of the client, so it is no label of a metric.
+    private void reject(int status, String reason, String detail, long retryAfterMs) {
       if (finished) {
         return;
       }
@@ -305,6 +310,7 @@
           .put("request", String.valueOf(request.headers().get("X-Request-Id")))
           .put("status", status)
           .put("reason", reason)
+          .put("detail", detail)
           .put("config", gateway.routingState().tableVersion())
           .write();
       boolean bodyIncomplete = !request.isEnded();
@@ -312,7 +318,7 @@
         connection.closing = true;
         response.closeAfterEnd();
       }
-      response.writeOwn(status, reason, retryAfterMs);
+      response.writeOwn(status, detail.isEmpty() ? reason : reason + ": " + detail, retryAfterMs);
       finish();
       if (bodyIncomplete) {
         closeAfterDelay(request.connection(), connection);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -62,6 +62,7 @@
   private final AttemptHistory history;
   private final TurnReservation reservation;
   private final Fingerprint fingerprint;
+  private final CrashDetector crashDetector;
   private final StreamBinding stream;
   private final Placement placement;
   private final EndpointConnector connector;
@@ -75,7 +76,6 @@
   private ResponseHead responseHead;
   private MultiMap responseHeaders;
   private RequestAttempt currentAttempt;
-  private EndpointEntry lastBrokenEndpoint;
   private long timer;
   private boolean clientDisconnected;
   private boolean finished;
@@ -98,6 +98,7 @@
     this.fingerprint =
         Fingerprint.ofServiceCall(
             request.uri(), request.method().name(), request.body().toString("ISO-8859-1"));
+    this.crashDetector = new CrashDetector(gateway, fingerprint);
     long timeoutMs = request.metadata().deadlineMs().orElse(request.route().timeoutMs());
     this.deadlineMs = request.arrivedMs() + Math.min(timeoutMs, request.route().timeoutMs());
   }
@@ -233,6 +234,7 @@
     gateway
         .loads()
         .recordOutcome(attempt.endpoint().id(), responseHead.status() < SERVER_FAILURE, now());
+    gateway.crashQuarantine().recordCompletion(fingerprint);
     gateway.serviceTimes().recordDuration(service, now() - attempt.sentAtMs());
     gateway.prefixCache().recordProcessed(request.metadata().prefix(), attempt.endpoint());
     if (!response.isStarted()) {
@@ -248,7 +250,7 @@
     currentAttempt = null;
     EndpointEntry endpoint = attempt.endpoint();
     boolean brokeAgain =
-        failure == AttemptFailure.BROKEN && isRetryable() && endpoint.equals(lastBrokenEndpoint);
+        failure == AttemptFailure.BROKEN && isRetryable() && crashDetector.hasBroken(endpoint);
     gateway.metrics().countFailedAttempt(failure.name());
     if (failure == AttemptFailure.REFUSED_FULL) {
       gateway.loads().markFull(endpoint.id(), now() + PLACEMENT_RETRY_MS);
@@ -258,11 +260,14 @@
     }
     // A lost path says nothing about the health of the endpoint.
     if (failure.mayHaveRun() && failure != AttemptFailure.PATH_LOST) {
-      lastBrokenEndpoint = endpoint;
+      crashDetector.recordBroken(endpoint);
       gateway.loads().recordOutcome(endpoint.id(), false, now());
     }
     if (failure == AttemptFailure.UNREACHABLE) {
-      reportCrash(endpoint);
+      crashDetector.reportCrash(endpoint);
+    }
+    if (failure == AttemptFailure.BROKEN && !isRetryable()) {
+      crashDetector.checkWithoutRetry(endpoint);
     }
     eventSplitter.prepareResume();
     bufferedBody = Buffer.buffer();
@@ -279,17 +284,12 @@
     if (finished) {
       return;
     }
-    gateway
-        .reachability()
-        .probe(endpoint)
+    crashDetector
+        .hasCrashed(endpoint)
         .onSuccess(
-            accepted -> {
-              if (!accepted) {
-                reportCrash(endpoint);
-              }
-              proceedAfterFailure(
-                  endpoint, accepted ? AttemptFailure.BROKEN : AttemptFailure.UNREACHABLE, cause);
-            });
+            crashed ->
+                proceedAfterFailure(
+                    endpoint, crashed ? AttemptFailure.UNREACHABLE : AttemptFailure.BROKEN, cause));
   }
 
   private void proceedAfterFailure(EndpointEntry endpoint, AttemptFailure failure, String cause) {
@@ -472,16 +472,8 @@
 
   private void handleConnectFailure(EndpointEntry endpoint, Throwable cause) {
     boolean limitReached = cause instanceof EndpointConnectionPool.ConnectionLimitReachedException;
-    if (!limitReached && endpoint.equals(lastBrokenEndpoint)) {
-      gateway
-          .reachability()
-          .awaitSearch(endpoint)
-          .onSuccess(
-              reachable -> {
-                if (!reachable) {
-                  reportCrash(endpoint);
-                }
-              });
+    if (!limitReached) {
+      crashDetector.onReconnectFailed(endpoint);
     }
     gateway.metrics().countFailedAttempt(limitReached ? "NO_CONNECTION_LEFT" : "NOT_CONNECTED");
     proceedAfterFailure(
@@ -490,16 +482,6 @@
         String.valueOf(cause.getMessage()));
   }
 
-  // An endpoint whose connection broke during a request and that then accepts no connection has
-  // probably crashed.
-  private void reportCrash(EndpointEntry endpoint) {
-    // Another endpoint may have broken a connection while the paths to this one were searched.
-    if (endpoint.equals(lastBrokenEndpoint)) {
-      lastBrokenEndpoint = null;
-    }
-    gateway.crashQuarantine().recordLocalCrash(fingerprint, endpoint.id());
-  }
-
   private void startAttempt(EndpointConnection connection) {
     // The endpoint may have announced its departure while the connection was being opened.
     if (!isEligible(connection.endpoint())) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -150,7 +150,7 @@
     this.vmDirectory = new VmDirectory(self, store, clock, log);
     this.peers = new PeerConnections(vertx, clock, log, metrics);
     this.allowances = createAllowances(self);
-    CrashQuarantine crashQuarantine = new CrashQuarantine(clock, log);
+    CrashQuarantine crashQuarantine = new CrashQuarantine(clock, log, metrics);
     EndpointLoadTracker loads = new EndpointLoadTracker();
     EndpointConnectionPool connections =
         new EndpointConnectionPool(vertx, clock, this::connectionShare);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -158,6 +158,7 @@
     }
     replies.forEach(reply -> reply.gone().forEach(this::recordDeparture));
     replies.forEach(reply -> reply.requestLimits().forEach(requestPermits::applyNote));
+    replies.forEach(reply -> reply.crashingRequests().forEach(crashQuarantine::applyPeerKnowledge));
     replies.forEach(this::applyReply);
     receivedPeerState |= !replies.isEmpty();
     completedRounds++;
@@ -280,7 +281,8 @@
         endpoints,
         tombstones,
         requestPermits.knownLimits(),
-        vms);
+        vms,
+        crashQuarantine.crashingRequests());
   }
 
   private void applyReply(PeerMessage.RoutingStateReply reply) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -33,7 +33,6 @@
 /** Test environment with a VM, a stand-in store and two stand-in endpoints in one process. */
 final class GatewayTestEnvironment {
 
-  private static final Pattern LOST_PEERS = Pattern.compile("peers_lost\\S* (\\d+)");
   private static final HostPort EPHEMERAL_PORT = new HostPort("127.0.0.1", 0);
   private static final SplittableRandom RANDOM = new SplittableRandom(7);
 
@@ -95,6 +94,11 @@
     return all;
   }
 
+  void clearBehaviours() {
+    firstEndpoint.clearBehaviours();
+    secondEndpoint.clearBehaviours();
+  }
+
   void setNextBehaviour(StandinEndpoint.Behaviour behaviour) {
     firstEndpoint.addBehaviour(behaviour);
     secondEndpoint.addBehaviour(behaviour);
@@ -142,7 +146,7 @@
             resumedRequestId,
             "Last-Event-Id",
             "3");
-    return Await.result(send(secondVm.clientPort(), HttpMethod.POST, "/stream/x", headers));
+    return Await.result(client.send(secondVm.clientPort(), HttpMethod.POST, "/stream/x", headers));
   }
 
   /** Starts a third endpoint; all three endpoints crash on the next request that they execute. */
@@ -274,7 +278,7 @@
     Map<String, String> all = new HashMap<>(headers);
     all.putIfAbsent("X-Request-Id", String.valueOf(++lastRequestId));
     all.put("Host", "h");
-    return Await.result(send(vm.clientPort(), HttpMethod.valueOf(method), path, all));
+    return Await.result(client.send(vm.clientPort(), HttpMethod.valueOf(method), path, all));
   }
 
   Response sendTurn(String program, long budget, long maxTokens) {
@@ -282,7 +286,7 @@
   }
 
   Response callSecondVm(String path) {
-    return Await.result(send(secondVm.clientPort(), HttpMethod.GET, path, nextHeaders()));
+    return Await.result(client.send(secondVm.clientPort(), HttpMethod.GET, path, nextHeaders()));
   }
 
   private static Map<String, String> turnHeaders(String program, long budget, long maxTokens) {
@@ -317,11 +321,12 @@
   }
 
   int readyStatus() {
-    return Await.result(send(vm.readyPort(), HttpMethod.GET, "/-/ready", Map.of())).status();
+    return Await.result(client.send(vm.readyPort(), HttpMethod.GET, "/-/ready", Map.of())).status();
   }
 
   int secondReadyStatus() {
-    return Await.result(send(secondVm.readyPort(), HttpMethod.GET, "/-/ready", Map.of())).status();
+    return Await.result(client.send(secondVm.readyPort(), HttpMethod.GET, "/-/ready", Map.of()))
+        .status();
   }
 
   void restartVm() {
@@ -369,6 +374,11 @@
     return links;
   }
 
+  /** Returns how many crashes the first VM has counted against requests. */
+  int countedCrashes() {
+    return readCounter(vm, "endpoint_crashes_by_requests");
+  }
+
   boolean storeUnavailable() {
     return Await.result(TestRuntime.callOnContext(vmVertx, () -> vm.isStoreUnavailable()));
   }
@@ -391,7 +401,7 @@
 
   /** Sends a request without waiting for its response. */
   Future<Response> begin(String method, String path) {
-    return send(vm.clientPort(), HttpMethod.valueOf(method), path, nextHeaders());
+    return client.send(vm.clientPort(), HttpMethod.valueOf(method), path, nextHeaders());
   }
 
   private Map<String, String> nextHeaders() {
@@ -405,7 +415,7 @@
       Map<String, String> headers = turnHeaders("p" + i, budget, maxTokens);
       headers.put("X-Request-Id", String.valueOf(++lastRequestId));
       statuses.add(
-          Await.result(send(secondVm.clientPort(), HttpMethod.POST, "/stream/x", headers))
+          Await.result(client.send(secondVm.clientPort(), HttpMethod.POST, "/stream/x", headers))
               .status());
     }
     return statuses;
@@ -461,7 +471,7 @@
       GatewayNode target = i % 2 == 0 ? vm : secondVm;
       Map<String, String> headers = turnHeaders(program, budget, maxTokens);
       headers.put("X-Request-Id", String.valueOf(++lastRequestId));
-      all.add(send(target.clientPort(), HttpMethod.POST, "/stream/x", headers));
+      all.add(client.send(target.clientPort(), HttpMethod.POST, "/stream/x", headers));
     }
     int served = 0;
     for (Future<Response> each : all) {
@@ -483,7 +493,7 @@
       sent.add(
           vertx
               .timer(Math.max(1, i * intervalMs), TimeUnit.MILLISECONDS)
-              .compose(due -> send(target.clientPort(), HttpMethod.GET, path, headers))
+              .compose(due -> client.send(target.clientPort(), HttpMethod.GET, path, headers))
               .map(Response::status)
               .otherwise(0));
     }
@@ -492,13 +502,13 @@
 
   /** Returns how often one VM considered the other one lost. */
   int countLostPeers() {
-    return countLostPeers(vm) + countLostPeers(secondVm);
+    return readCounter(vm, "peers_lost") + readCounter(secondVm, "peers_lost");
   }
 
-  private int countLostPeers(GatewayNode node) {
+  private int readCounter(GatewayNode node, String name) {
     String metrics =
-        Await.result(send(node.readyPort(), HttpMethod.GET, "/metrics", Map.of())).body();
-    Matcher count = LOST_PEERS.matcher(metrics);
+        Await.result(client.send(node.readyPort(), HttpMethod.GET, "/metrics", Map.of())).body();
+    Matcher count = Pattern.compile(name + "\\S* (\\d+)").matcher(metrics);
     return count.find() ? Integer.parseInt(count.group(1)) : 0;
   }
 
@@ -537,7 +547,7 @@
             String.valueOf(deadlineMs));
     return vertx
         .timer(delayMs, TimeUnit.MILLISECONDS)
-        .compose(fired -> send(vm.clientPort(), HttpMethod.POST, "/unsafe/x", headers));
+        .compose(fired -> client.send(vm.clientPort(), HttpMethod.POST, "/unsafe/x", headers));
   }
 
   private static GatewayNode startVm(
@@ -577,11 +587,6 @@
     return node;
   }
 
-  private Future<Response> send(
-      int port, HttpMethod method, String path, Map<String, String> headers) {
-    return client.send(port, method, path, headers);
-  }
-
   void close() throws IOException {
     for (Closeable each : sockets) {
       each.close();
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -149,6 +149,11 @@
     nextBehaviours.add(behaviour);
   }
 
+  /** Removes the behaviours that are set for further requests. */
+  public synchronized void clearBehaviours() {
+    nextBehaviours.clear();
+  }
+
   /**
    * Sets the request limit that the endpoint reports in its responses, in requests per second; it
    * does not enforce the limit.
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -290,6 +290,21 @@
    */
   record TunnelEndReply(long request, boolean closedByEndpoint) implements PeerMessage {}
 
+  /**
+   * A request that has crashed endpoints, as part of a {@link RoutingStateReply}.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param endpoints the endpoints that it has crashed; empty if it is quarantined
+   * @param quarantinedForMs the rest of the quarantine, or 0 if it is only suspected
+   */
+  record CrashingRequest(String fingerprint, List<String> endpoints, long quarantinedForMs) {
+
+    /** Makes a defensive copy of the list. */
+    public CrashingRequest {
+      endpoints = List.copyOf(endpoints);
+    }
+  }
+
   /**
    * Requests the receiver's routing state: the configuration, the endpoints and the VMs.
    *
@@ -309,6 +324,8 @@
    * @param gone the tombstones of endpoints, so that older lists do not restore the endpoints
    * @param requestLimits the request limits of endpoints; empty in replies of earlier releases
    * @param vms the VMs
+   * @param crashingRequests the requests that have crashed endpoints; empty in replies of earlier
+   *     releases
    */
   record RoutingStateReply(
       long request,
@@ -317,7 +334,8 @@
       List<EndpointInfo> endpoints,
       List<EndpointDeparture> gone,
       List<RequestLimitNote> requestLimits,
-      List<VmInfo> vms)
+      List<VmInfo> vms,
+      List<CrashingRequest> crashingRequests)
       implements PeerMessage {
 
     /** Makes defensive copies of the lists. */
@@ -325,6 +343,7 @@
       endpoints = List.copyOf(endpoints);
       gone = List.copyOf(gone);
       requestLimits = requestLimits == null ? List.of() : List.copyOf(requestLimits);
+      crashingRequests = crashingRequests == null ? List.of() : List.copyOf(crashingRequests);
       vms = List.copyOf(vms);
     }
   }
