Rely on restarted VMs for unrecorded use once they have reached the store

Cause: a VM that has reached the store remembers the next outage like any other; only for the outage in which it started does it remember nothing.

Change: a VM counts as restarted until it has reached the store for 4 s, and six VMs of the own data centre are asked, all of which hold the notes of an outage.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
@@ -49,8 +49,12 @@
   private static final long REQUEST_TIMEOUT_MS =
       AllowanceHolder.DECISION_TIMEOUT_MS + PEER_DELAY_MS;
 
+  /** VMs of each other data centre that a restarted VM asks for the use that they remember. */
   private static final int WITNESSES_PER_DATA_CENTRE = 2;
 
+  /** VMs of this data centre that a restarted VM asks; all of them hold the notes of an outage. */
+  private static final int LOCAL_WITNESSES = 6;
+
   private static final Verdict[] VERDICTS = Verdict.values();
   private static final Mode[] MODES = Mode.values();
 
@@ -235,9 +239,10 @@
     Map<String, Integer> countByDataCentre = new HashMap<>();
     List<VmEntry> witnesses = new ArrayList<>();
     for (VmEntry vm : ranked(partition)) {
+      boolean isLocal = vm.dataCentre().equals(self.dataCentre());
+      int limit = isLocal ? LOCAL_WITNESSES : WITNESSES_PER_DATA_CENTRE;
       if (!vm.vm().equals(self.vm())
-          && countByDataCentre.merge(vm.dataCentre(), 1, Integer::sum)
-              <= WITNESSES_PER_DATA_CENTRE) {
+          && countByDataCentre.merge(vm.dataCentre(), 1, Integer::sum) <= limit) {
         witnesses.add(vm);
       }
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreHealth.java
@@ -32,7 +32,7 @@
   private final InstantSource clock;
   private final DecisionLog log;
   private long lastSuccessMs;
-  private boolean hasSucceeded;
+  private long firstSuccessMs = Long.MAX_VALUE;
   private boolean startedInOutage;
   private long failingSinceMs = Long.MAX_VALUE;
   private long outageEndedMs = Long.MIN_VALUE / 2;
@@ -56,7 +56,7 @@
       outageEndedMs = nowMs;
     }
     outageConfirmed = false;
-    hasSucceeded = true;
+    firstSuccessMs = Math.min(firstSuccessMs, nowMs);
     if (outageLogged) {
       outageLogged = false;
       log.line("dependency_regained")
@@ -76,7 +76,7 @@
    */
   void recordFailure(Throwable cause, long startedMs) {
     outageConfirmed |= startedMs >= lastSuccessMs;
-    startedInOutage |= !hasSucceeded;
+    startedInOutage |= firstSuccessMs == Long.MAX_VALUE;
     failingSinceMs = Math.min(failingSinceMs, clock.millis());
     if (isUnavailable() && !outageLogged) {
       outageLogged = true;
@@ -88,6 +88,11 @@
     }
   }
 
+  /** Returns the time since the first successful call; negative if there was none. */
+  long reachedForMs() {
+    return firstSuccessMs == Long.MAX_VALUE ? -1 : clock.millis() - firstSuccessMs;
+  }
+
   /** Returns whether a call failed before the first one succeeded. */
   boolean startedInOutage() {
     return startedInOutage;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/UsageRecovery.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/UsageRecovery.java
@@ -22,6 +22,12 @@
   /** Programs that began before the restart have ended after this time. */
   private static final long RECOVERY_MS = 60_000;
 
+  /**
+   * Time for which a VM has to reach the store before others rely on its memory: by then, programs
+   * that continue after an outage have sent their next turn.
+   */
+  private static final long SETTLING_MS = 4_000;
+
   /** Time that a busy VM may take to reply. */
   private static final long REPLY_TIMEOUT_MS = 150;
 
@@ -52,13 +58,9 @@
     this.startedAtMs = clock.millis();
   }
 
-  /** Returns whether this VM has started so recently that it may not know earlier use. */
+  /** Returns whether this VM has reached the store too recently to remember earlier use. */
   boolean isRestarted() {
-    boolean restarted = !firstStart && clock.millis() - startedAtMs < RECOVERY_MS;
-    if (!restarted) {
-      recovered.clear();
-    }
-    return restarted;
+    return !firstStart && health.reachedForMs() < SETTLING_MS;
   }
 
   /** Returns whether the store was unavailable when this VM started. */
@@ -66,8 +68,16 @@
     return health.startedInOutage();
   }
 
+  /** Returns whether the VM has to ask others before its first decision on the program. */
   boolean isNeeded(String program) {
-    return isRestarted() && !recovered.contains(program);
+    if (firstStart) {
+      return false;
+    }
+    if (clock.millis() - startedAtMs >= RECOVERY_MS) {
+      recovered.clear();
+      return false;
+    }
+    return !recovered.contains(program);
   }
 
   /**
