Count unreachable data centres only for decisions from memory

A VM counted the data centres that it cannot reach for each turn, also for those decided on records, which do not use the count. With a hundred VMs that costs more than the decision. No behaviour changes.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
@@ -165,6 +165,7 @@
       return false;
     }
     VmId vm = new VmId(holder.substring(0, end));
+    // Use that is not this start's own was left by an earlier start of this VM.
     if (vm.equals(self.vm())) {
       return true;
     }
@@ -207,8 +208,10 @@
 
   private Future<Verdict> decide(Turn turn, Mode mode) {
     String program = turn.program();
+    boolean mayUseMemory = mode == Mode.REMEMBERED || mode == Mode.BLIND;
+    int deciders = mayUseMemory ? unawareDeciders() : 1;
     return holderOf(program)
-        .reserve(program, turn.budgetTokens(), turn.turnTokens(), unawareDeciders(), mode)
+        .reserve(program, turn.budgetTokens(), turn.turnTokens(), deciders, mode)
         .onSuccess(
             verdict -> {
               if (verdict == Verdict.GRANTED) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StreamVersions.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StreamVersions.java
@@ -28,7 +28,7 @@
  * <p>While a service may have streams of several versions, each VM appends the versions of the
  * streams that begin to a log in the store, several in one call. A VM that has to resume a stream
  * it does not know reads on in this log. While all streams belong to one version, nothing is
- * written and nothing is read. Used on one event loop.
+ * written, and a VM only makes sure that this is still so. Used on one event loop.
  */
 final class StreamVersions {
 
