--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -263,6 +263,9 @@
     boolean brokeAgain =
         failure == AttemptFailure.BROKEN && isRetryable() && crashDetector.hasBroken(endpoint);
     gateway.metrics().countFailedAttempt(failure.name());
+    if (failure.mayHaveRun()) {
+      log.logBroken(attempt, cause);
+    }
     if (failure == AttemptFailure.REFUSED_FULL) {
       gateway.loads().markFull(endpoint.id(), now() + PLACEMENT_RETRY_MS);
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.RequestMetadata;
+import io.magnoliaroute.platform.ResponseHead;
 import java.util.Optional;
 
 /** Writes the decision log's lines about the attempts of one request. */
@@ -35,6 +36,23 @@
         .write();
   }
 
+  /** Logs what an attempt that may have run had received from the endpoint when it failed. */
+  void logBroken(RequestAttempt attempt, String cause) {
+    long nowMs = gateway.clock().millis();
+    Optional<ResponseHead> response = attempt.lastResponseHead();
+    EndpointConnection connection = attempt.connection();
+    line("response_lost")
+        .put("endpoint", attempt.endpoint().id().value())
+        .put("path", connection.relay().map(relay -> relay.vm().value()).orElse("direct"))
+        .put("reused", connection.isReused())
+        .put("waited_ms", nowMs - attempt.sentAtMs())
+        .put("silent_ms", nowMs - attempt.lastReceivedAtMs())
+        .put("status", response.map(ResponseHead::status).orElse(0))
+        .put("responds_to", response.flatMap(ResponseHead::requestId).orElse(""))
+        .put("cause", cause)
+        .write();
+  }
+
   /** Logs that the endpoint's request limit leaves no permit for the request. */
   void logPermitDenied(EndpointEntry endpoint, long nextMs, long acceptedMs) {
     line("permit_denied")
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
 
 /**
  * One attempt to run a client request on one endpoint connection. Reports its outcome exactly once.
@@ -124,6 +125,15 @@
     return sentAtMs;
   }
 
+  /** Returns the head of the last response that was received, whichever request it belongs to. */
+  Optional<ResponseHead> lastResponseHead() {
+    return Optional.ofNullable(responseHead);
+  }
+
+  EndpointConnection connection() {
+    return connection;
+  }
+
   boolean hasResponseStarted() {
     return responseStarted;
   }
