Open a connection for each call to a model engine

On the product's own interface, engines keep connections open between calls and their responses name no call. A late copy of a response that arrived once the next call had been sent was read as the response to that call, of another program: EngineClientTest expected "call 2" and got "call 1". Nothing on the wire tells the two apart, so each call, and each request for cache entries, now has a connection of its own, as calls of plain services already had.

EngineClientTest, ProgramApiTest and MultipleDaemonsTest pass.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineCacheClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineCacheClient.java
@@ -20,11 +20,16 @@
 
   private final HttpClient client;
 
-  /** Creates a client that uses the connect timeout of {@code timeouts}. */
+  /**
+   * Creates a client that opens a new connection for each request, as {@link EngineClient} does.
+   */
   public EngineCacheClient(Vertx vertx, EndpointTimeouts timeouts) {
     this.client =
         vertx.createHttpClient(
-            new HttpClientOptions().setConnectTimeout(timeouts.connectMs()).setTcpNoDelay(true));
+            new HttpClientOptions()
+                .setKeepAlive(false)
+                .setConnectTimeout(timeouts.connectMs())
+                .setTcpNoDelay(true));
   }
 
   /** Returns the number of tokens that the engine has cached for each cache key. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineClient.java
@@ -19,13 +19,16 @@
   private final HttpClient client;
   private final EndpointTimeouts timeouts;
 
-  /** Creates a client that keeps connections open between calls. */
+  /**
+   * Creates a client that opens a new connection for each call. On a connection that is used again,
+   * a late copy of an earlier response could not be told apart from the response to the next call.
+   */
   public EngineClient(Vertx vertx, EndpointTimeouts timeouts) {
     this.vertx = vertx;
     this.timeouts = timeouts;
     HttpClientOptions options =
         new HttpClientOptions()
-            .setKeepAlive(true)
+            .setKeepAlive(false)
             .setTcpNoDelay(true)
             .setConnectTimeout(timeouts.connectMs());
     this.client =
