Run no request again after the beginning of a failure

Cause: a failure that broke off inside its head or body, exceeded the buffer limit, fell silent, carried no request id, or whose end a relay did not confirm counted as a lost response. A request that may be repeated ran again, and the client got the success of the second run.

Change: such an attempt ends as FAILED_INCOMPLETE, after which no route allows another run; the client gets 502. Vert.x reports nothing of a response that ends inside its head, so a handler in front of the decoder reads the status of each response. A 2xx response that broke off, bytes that are no response, a refusal and an empty connection are retried as before. The endpoint is probed for a crash after such a failure, as after a broken request that is not retried, since no reconnect follows that would show it.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
@@ -14,6 +14,11 @@
   RATE_LIMITED(false, false),
   /** The connection broke, or the received bytes were not a response to this request. */
   BROKEN(true, false),
+  /**
+   * The endpoint responded with a failure that did not arrive whole, or with one whose beginning is
+   * all that arrived.
+   */
+  FAILED_INCOMPLETE(true, false),
   /**
    * The path to the endpoint failed; the endpoint is reachable by another path and may still run
    * the request.
@@ -35,6 +40,14 @@
     return mayHaveRun;
   }
 
+  /**
+   * Returns whether the endpoint may have responded with a failure. A success of another run must
+   * not replace it.
+   */
+  boolean isFinal() {
+    return this == FAILED_INCOMPLETE;
+  }
+
   /** Returns whether the connection failed while the endpoint remains reachable by a new one. */
   boolean isConnectionLost() {
     return this == BROKEN || this == PATH_LOST;
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
@@ -110,6 +110,15 @@
       assertEquals(RetryAction.OTHER_ENDPOINT, history.recordFailure(AttemptFailure.NOT_CONNECTED));
     }
 
+    @Test
+    @DisplayName("end without another run once an endpoint may have responded with a failure")
+    void noRunReplacesFailure() {
+      history.beginAttempt(FIRST);
+
+      assertEquals(
+          RetryAction.ANSWER_UNKNOWN, history.recordFailure(AttemptFailure.FAILED_INCOMPLETE));
+    }
+
     @Test
     @DisplayName("do not continue on another endpoint while the first one is reachable")
     void noSecondEndpoint() {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.VmEntry;
+import io.netty.channel.Channel;
 import io.vertx.core.http.HttpClientConnection;
 import java.util.Optional;
 
@@ -11,6 +12,7 @@
   private final EndpointEntry endpoint;
   private final Optional<VmEntry> relay;
   private final HttpClientConnection connection;
+  private final ResponseStart responseStart = new ResponseStart();
   private boolean pathLost;
   private Runnable onClose = () -> {};
   private boolean closed;
@@ -47,6 +49,24 @@
     return connection;
   }
 
+  /** Reads the connection's responses from the channel, before they are decoded. */
+  void observe(Channel channel) {
+    channel.pipeline().addFirst(responseStart);
+  }
+
+  /** Prepares for the response to the next request. */
+  void beginRequest() {
+    responseStart.reset();
+  }
+
+  /**
+   * Returns whether the bytes received since the request began are, or can become, a response with
+   * another status than 2xx.
+   */
+  boolean mayHaveReceivedFailure() {
+    return responseStart.mayBeFailure();
+  }
+
   boolean isClosed() {
     return closed;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -9,6 +9,8 @@
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnectOptions;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import io.vertx.core.net.SocketAddress;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
@@ -140,12 +142,15 @@
               EndpointConnection pooled = new EndpointConnection(endpoint, relay, connection);
               pool.open.add(pooled);
               connection.exceptionHandler(e -> close(pooled));
-              connection.closeHandler(
-                  closed -> {
-                    pool.open.remove(pooled);
-                    pool.idle.remove(pooled);
-                    pooled.markClosed();
-                  });
+              HttpConnection opened =
+                  connection.closeHandler(
+                      closed -> {
+                        pool.open.remove(pooled);
+                        pool.idle.remove(pooled);
+                        pooled.markClosed();
+                      });
+              pooled.observe(
+                  ((HttpClientConnectionInternal) opened).channelHandlerContext().channel());
               return pooled;
             });
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -280,7 +280,8 @@
     if (failure == AttemptFailure.UNREACHABLE) {
       crashDetector.reportCrash(endpoint);
     }
-    if (failure == AttemptFailure.BROKEN && !isRetryable()) {
+    boolean brokeWithoutRetry = failure == AttemptFailure.BROKEN && !isRetryable();
+    if (brokeWithoutRetry || failure == AttemptFailure.FAILED_INCOMPLETE) {
       crashDetector.checkWithoutRetry(endpoint);
     }
     eventSplitter.prepareResume();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -152,6 +152,7 @@
     lastProgressAtMs = sentAtMs;
     gateway.loads().recordRequestStart(endpoint().id());
     gateway.watchdog().add(this);
+    connection.beginRequest();
     connection.onClose(() -> handleConnectionFailure("connection closed"));
     RequestOptions options =
         new RequestOptions().setMethod(outbound.method()).setURI(outbound.uri());
@@ -170,14 +171,28 @@
     }
   }
 
-  /** Fails the attempt for a reason that the caller has detected. */
+  /**
+   * Fails the attempt for a reason that the caller has detected. The listener learns {@link
+   * AttemptFailure#FAILED_INCOMPLETE} instead if the endpoint may have responded with a failure.
+   */
   void fail(AttemptFailure failure, String cause) {
     if (finished) {
       return;
     }
+    boolean isFinal = failure.mayHaveRun() && mayHaveFailed();
     finish();
     gateway.connections().close(connection);
-    listener.onFailed(this, failure, cause);
+    listener.onFailed(this, isFinal ? AttemptFailure.FAILED_INCOMPLETE : failure, cause);
+  }
+
+  // A failure without an id may belong to another request, but is not known to.
+  private boolean mayHaveFailed() {
+    if (responseHead == null) {
+      return connection.mayHaveReceivedFailure();
+    }
+    return !responseHead.isSuccess()
+        && !responseHead.notRun()
+        && responseHead.requestId().map(requestId::equals).orElse(true);
   }
 
   void pause() {
@@ -309,10 +324,8 @@
   }
 
   private void handleConnectionFailure(String cause) {
-    if (!finished && !responseEnded) {
-      finish();
-      gateway.connections().close(connection);
-      listener.onFailed(this, AttemptFailure.BROKEN, cause);
+    if (!responseEnded) {
+      fail(AttemptFailure.BROKEN, cause);
     }
   }
 
