Wait for an endpoint that accepts no connections and may be paused

Cause: a sound endpoint may fall silent for a second or so, during which it accepts no connections. An idempotent request that it was running was given up after half a second, run again at another endpoint, and counted as the cause of a crash. When the endpoint went on, it responded to the first run as well, into a closed connection. Clients got a success although an endpoint had responded with a failure, requests ran on more endpoints than their route allows, and after three pauses the request was quarantined.

Change: such a request waits for its endpoint as a stream does, up to 1.5 s from the last bytes of the endpoint on any connection. A reconnect to an endpoint that may have run the request waits as long if the connection times out. Only an endpoint that refuses connections has crashed; one to which connections time out is paused, or its network or VM has failed. An endpoint that refuses connections, or is unreachable together with others of its data centre, is replaced at once, as before. New requests avoid the silent endpoint, as before.

Evidence: on the code before, PausedEndpointTest printed "expected: <500> but was: <200>" and "expected: <504> but was: <200>" for each pause without connections (6 of 6), and "expected: <[]> but was: <[11, 24, 25, 37, 38]>" for requests on several endpoints. All of these pass now.

The decision log's line send_failed moves to ExchangeLog unchanged. EndpointLink gets a cut that accepts connections and transports nothing; restoring a link no longer reopens a listener that is still open.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
@@ -60,6 +60,11 @@
     return mayHaveRun;
   }
 
+  /** Returns whether the endpoint may have started to run the request. */
+  public boolean mayHaveRunOn(EndpointId endpoint) {
+    return ranOn.contains(endpoint);
+  }
+
   /** Returns whether the endpoint has refused the request because it was full. */
   public boolean wasRefusedBy(EndpointId endpoint) {
     return refusedBy.contains(endpoint);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/CrashDetector.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/CrashDetector.java
@@ -54,14 +54,14 @@
   }
 
   /**
-   * Probes an endpoint that has broken two connections, and counts a crash if it accepts no further
+   * Probes an endpoint that has broken two connections, and counts a crash if it refuses a further
    * one: a process that takes long to crash still accepts the reconnect and breaks it too.
    */
   Future<Boolean> hasCrashed(EndpointEntry endpoint) {
     return gateway
         .reachability()
         .probe(endpoint)
-        .map(accepted -> !accepted)
+        .map(accepted -> !accepted && !gateway.reachability().mayBePaused(endpoint))
         .onSuccess(
             crashed -> {
               if (crashed) {
@@ -97,12 +97,14 @@
             });
   }
 
-  /** Counts a crash of the endpoint against the request. */
+  /** Counts a crash against the request, unless the endpoint may be paused or cut off instead. */
   void reportCrash(EndpointEntry endpoint) {
     // Another endpoint may have broken a connection while the paths to this one were searched.
     if (hasBroken(endpoint)) {
       lastBrokenEndpoint = null;
     }
-    gateway.crashQuarantine().recordLocalCrash(request, endpoint.id());
+    if (gateway.reachability().mayHaveCrashed(endpoint)) {
+      gateway.crashQuarantine().recordLocalCrash(request, endpoint.id());
+    }
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -63,6 +63,7 @@
   private final TurnReservation reservation;
   private final Fingerprint fingerprint;
   private final CrashDetector crashDetector;
+  private final PauseTolerance pauseTolerance;
   private final StreamBinding stream;
   private final Placement placement;
   private final EndpointConnector connector;
@@ -99,6 +100,7 @@
         Fingerprint.ofServiceCall(
             request.uri(), request.method().name(), request.body().toString("ISO-8859-1"));
     this.crashDetector = new CrashDetector(gateway, fingerprint);
+    this.pauseTolerance = new PauseTolerance(gateway, history);
     this.deadlineMs = request.deadlineMs();
   }
 
@@ -309,13 +311,7 @@
 
   private void proceedAfterFailure(EndpointEntry endpoint, AttemptFailure failure, String cause) {
     RetryAction action = history.recordFailure(failure);
-    log.line("send_failed")
-        .put("endpoint", endpoint.id().value())
-        .put("result", failure.name())
-        .put("cause", cause)
-        .put("sends", history.attempts())
-        .put("next", action.name())
-        .write();
+    log.logFailed(endpoint, failure, cause, history.attempts(), action);
     if (finished) {
       return;
     }
@@ -491,6 +487,10 @@
       crashDetector.onReconnectFailed(endpoint);
     }
     gateway.metrics().countFailedAttempt(limitReached ? "NO_CONNECTION_LEFT" : "NOT_CONNECTED");
+    if (!limitReached && pauseTolerance.awaits(endpoint)) {
+      gateway.vertx().setTimer(PauseTolerance.RETRY_MS, fired -> reconnect(endpoint));
+      return;
+    }
     proceedAfterFailure(
         endpoint,
         limitReached ? AttemptFailure.REFUSED_FULL : AttemptFailure.NOT_CONNECTED,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
@@ -1,7 +1,9 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.magnoliaroute.core.gateway.AttemptFailure;
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.RequestMetadata;
+import io.magnoliaroute.core.gateway.RetryAction;
 import io.magnoliaroute.platform.ResponseHead;
 import java.util.Optional;
 
@@ -53,6 +55,22 @@
         .write();
   }
 
+  /** Logs the failure of an attempt and how the request proceeds. */
+  void logFailed(
+      EndpointEntry endpoint,
+      AttemptFailure failure,
+      String cause,
+      int attempts,
+      RetryAction action) {
+    line("send_failed")
+        .put("endpoint", endpoint.id().value())
+        .put("result", failure.name())
+        .put("cause", cause)
+        .put("sends", attempts)
+        .put("next", action.name())
+        .write();
+  }
+
   /** Logs that the endpoint's request limit leaves no permit for the request. */
   void logPermitDenied(EndpointEntry endpoint, long nextMs, long acceptedMs) {
     line("permit_denied")
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -52,6 +52,7 @@
   private final Map<EndpointId, Long> lastFailureMs = new HashMap<>();
   private final Set<EndpointId> runningDirectProbes = new HashSet<>();
   private final Set<EndpointId> refusing = new HashSet<>();
+  private final Set<EndpointId> timedOut = new HashSet<>();
   private Consumer<EndpointId> listener = endpoint -> {};
 
   /**
@@ -127,6 +128,14 @@
     return true;
   }
 
+  /**
+   * Returns whether the process of an unreachable endpoint may have ended. The operating system
+   * refuses connections to a process that has crashed, so they do not time out.
+   */
+  boolean mayHaveCrashed(EndpointEntry endpoint) {
+    return refusing.contains(endpoint.id()) || !timedOut.contains(endpoint.id());
+  }
+
   private boolean isCurrent(EndpointEntry endpoint, Optional<VmEntry> relay) {
     return paths.relay(endpoint.id()).equals(relay);
   }
@@ -134,8 +143,8 @@
   private Future<Boolean> replacePath(
       EndpointEntry endpoint, Optional<VmEntry> lostRelay, Throwable cause) {
     long nowMs = clock.millis();
-    if (lostRelay.isEmpty() && !(cause instanceof ConnectTimeoutException)) {
-      refusing.add(endpoint.id());
+    if (lostRelay.isEmpty()) {
+      (cause instanceof ConnectTimeoutException ? timedOut : refusing).add(endpoint.id());
     }
     boolean wasDirect = lostRelay.isEmpty() && paths.markDirectLost(endpoint.id(), nowMs);
     lostRelay.ifPresent(relay -> paths.markRelayFailed(relay.vm(), endpoint.id(), nowMs));
@@ -239,6 +248,7 @@
         routingState.endpoints().entries().stream().map(EndpointEntry::id).toList();
     paths.retain(listed, clock.millis());
     refusing.retainAll(listed);
+    timedOut.retainAll(listed);
   }
 
   private void probeDirectPath(EndpointEntry endpoint) {
@@ -352,6 +362,7 @@
     }
     loads.markReachable(endpoint.id());
     refusing.remove(endpoint.id());
+    timedOut.remove(endpoint.id());
   }
 
   private void probeUnlessRecent(EndpointEntry endpoint) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -37,8 +37,8 @@
   static final long DEAD_CONNECTION_THRESHOLD_MS = 1_300;
 
   /**
-   * Time without received bytes after which a stream is resumed elsewhere if its endpoint accepts
-   * no connections either; a sound endpoint may pause for a second.
+   * Time without received bytes after which a request is sent to another endpoint if its endpoint
+   * accepts no connections either; a sound endpoint may pause for a second.
    */
   static final long MAX_PAUSE_MS = 1_500;
 
@@ -232,12 +232,12 @@
     silentAttempts.forEach(attempt -> failIfLost(attempt, clock.millis()));
   }
 
-  // A paused endpoint goes on with a stream by itself, beside the one that resumed it.
+  // A paused endpoint goes on with its requests by itself, beside the endpoint of the retry.
   private boolean failIfLost(RequestAttempt attempt, long nowMs) {
-    boolean awaitsEndpoint =
-        attempt.isStream()
-            && nowMs - attempt.lastReceivedAtMs() < MAX_PAUSE_MS
-            && prober.mayBePaused(attempt.endpoint());
+    EndpointEntry endpoint = attempt.endpoint();
+    long lastHeardAtMs =
+        Math.max(attempt.lastReceivedAtMs(), lastReceivedAtMs.getOrDefault(endpoint.id(), 0L));
+    boolean awaitsEndpoint = nowMs - lastHeardAtMs < MAX_PAUSE_MS && prober.mayBePaused(endpoint);
     if (!attempt.isRetryable() || awaitsEndpoint) {
       return false;
     }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointLink.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointLink.java
@@ -35,6 +35,13 @@
         link.ignoreNewConnections();
       }
     },
+    /** New connections are accepted, and no connection transports any bytes. */
+    ACCEPTS_ONLY {
+      @Override
+      void apply(EndpointLink link) {
+        link.setSilent(true);
+      }
+    },
     /** Open connections are reset, and attempts to connect get no response. */
     RESET {
       @Override
@@ -75,9 +82,11 @@
   }
 
   synchronized void restore() throws IOException {
-    closeListener();
-    listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
-    acceptor = acceptOn(listener);
+    if (listener.isClosed()) {
+      closeListener();
+      listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+      acceptor = acceptOn(listener);
+    }
     setSilent(false);
   }
 
