Keep a silent connection open while its request is repeated

Cause: a connection counted as dead after 1.3 s without bytes if the endpoint accepted a TCP connection meanwhile. The operating system accepts connections for a paused process too, and a slow request is as silent as a dead connection. The request was run again, and the first connection closed: a failure that the endpoint gave to the first run was replaced by the success of the second one, and a request that works for longer than 1.3 s ran twice and got a 502.

Change: an accepted connection is no evidence any more. An idempotent request is repeated only if its endpoint has sent bytes on other connections for the last second; if there is no other traffic, health checks show it (HealthCheckClient, to the service's health path, with a permit if the endpoint has a request limit). The first connection stays open meanwhile. The attempt whose response head arrives first determines the response, and the other one is cancelled (OpenAttempts); if one fails, the other goes on. A request is repeated once at a time and at the same endpoint. A connection whose path was lost is repeated on the new path after 250 ms, as before, and stays open as well. Streams and responses whose head has arrived are handled as before, apart from the evidence that the latter need.

Evidence: on the code before, PausedEndpointTest printed "expected: <500> but was: <200>" and "expected: <504> but was: <200>" for a pause of 1.4 s during which connections were accepted; 5 of 8 tests of SilentConnectionTest failed: "expected: <200> but was: <502>" (three times, the slow request among them), "expected: <500> but was: <502>", and "expected: <1> but was: <2>" for an endpoint that never responds. The other three passed before: two guard what the limit is for, connections that are dead for good, and one that both runs are cancelled.

ResponseBuffer and the line request_ended move out of Exchange unchanged. The test configuration gets a route with a timeout of 4 s.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
@@ -78,6 +78,17 @@
     return avoided;
   }
 
+  /** Returns whether another attempt may be made. */
+  public boolean hasAttemptsLeft() {
+    return attempts < MAX_ATTEMPTS;
+  }
+
+  /** Records that the request is repeated while its last attempt is still open. */
+  public void recordRepeat() {
+    mayHaveRun = true;
+    ranOn.add(lastEndpoint);
+  }
+
   /** Records the failure of the last attempt and returns how to proceed. */
   public RetryAction recordFailure(AttemptFailure failure) {
     mayHaveRun |= failure.mayHaveRun();
@@ -93,7 +104,7 @@
     if (failure.isFinal() || (mayHaveRun && !route.mayRepeat())) {
       return RetryAction.ANSWER_UNKNOWN;
     }
-    if (attempts >= MAX_ATTEMPTS) {
+    if (!hasAttemptsLeft()) {
       return mayHaveRun ? RetryAction.ANSWER_UNKNOWN : RetryAction.ANSWER_NOT_RUN;
     }
     if (failure.isConnectionLost()
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -70,13 +70,12 @@
   private final ExchangeLog log;
   private final String service;
   private final Runnable onFinished;
+  private final OpenAttempts attempts = new OpenAttempts();
+  private final ResponseBuffer buffer;
   private final EventStreamSplitter eventSplitter = new EventStreamSplitter(MAX_EVENT_BYTES);
   private final long deadlineMs;
-  private Buffer bufferedBody = Buffer.buffer();
-  private int accountedBytes;
   private ResponseHead responseHead;
   private MultiMap responseHeaders;
-  private RequestAttempt currentAttempt;
   private long timer;
   private boolean clientDisconnected;
   private boolean finished;
@@ -101,6 +100,7 @@
             request.uri(), request.method().name(), request.body().toString("ISO-8859-1"));
     this.crashDetector = new CrashDetector(gateway, fingerprint);
     this.pauseTolerance = new PauseTolerance(gateway, history);
+    this.buffer = new ResponseBuffer(gateway.responseMemory());
     this.deadlineMs = request.deadlineMs();
   }
 
@@ -154,7 +154,7 @@
       return;
     }
     clientDisconnected = true;
-    if (currentAttempt != null && !isRetryable()) {
+    if (attempts.current() != null && !isRetryable()) {
       // A non-idempotent request that is already running is not cancelled; its response is
       // discarded.
       return;
@@ -170,7 +170,7 @@
     if (finished) {
       return;
     }
-    boolean sent = currentAttempt != null || history.mayHaveRun();
+    boolean sent = attempts.current() != null || history.mayHaveRun();
     refuse(sent ? BAD_GATEWAY : UNAVAILABLE, "stopping", sent ? 0 : RETRY_AFTER_MS);
   }
 
@@ -185,6 +185,7 @@
       attempt.fail(AttemptFailure.BROKEN, "success response without signature");
       return;
     }
+    attempts.select(attempt);
     if (response.isStarted()) {
       if (!head.isSuccess() || !head.isEventStream()) {
         attempt.cancel();
@@ -202,16 +203,14 @@
   @Override
   public void onBody(RequestAttempt attempt, Buffer bytes) {
     if (!response.isStarted()) {
-      if (tryResizeBuffer(bufferedBody.length() + bytes.length())) {
-        bufferedBody.appendBuffer(bytes);
-      } else {
+      if (!buffer.append(bytes)) {
         attempt.fail(AttemptFailure.BROKEN, "response body exceeds the buffer limit");
       }
       return;
     }
     try {
       forwardEvents(attempt, eventSplitter.split(bytes));
-      if (!tryResizeBuffer(eventSplitter.partialBytes())) {
+      if (!buffer.tryResize(eventSplitter.partialBytes())) {
         attempt.fail(AttemptFailure.BROKEN, "incomplete event exceeds the buffer limit");
       }
     } catch (EventStreamSplitter.OversizedEventException e) {
@@ -231,10 +230,13 @@
     }
   }
 
-  private boolean tryResizeBuffer(int newBytes) {
-    boolean accepted = gateway.responseMemory().tryResize(accountedBytes, newBytes);
-    accountedBytes = accepted ? newBytes : accountedBytes;
-    return accepted;
+  @Override
+  public void onSilent(RequestAttempt attempt) {
+    if (history.hasAttemptsLeft() && attempts.beginRepeat()) {
+      log.logRepeated(attempt);
+      history.recordRepeat();
+      reconnect(attempt.endpoint());
+    }
   }
 
   @Override
@@ -243,7 +245,7 @@
       onFailed(attempt, AttemptFailure.BROKEN, "stream ended inside an event");
       return;
     }
-    currentAttempt = null;
+    attempts.remove(attempt);
     gateway
         .loads()
         .recordOutcome(attempt.endpoint().id(), responseHead.status() < SERVER_FAILURE, now());
@@ -251,7 +253,7 @@
     gateway.serviceTimes().recordDuration(service, now() - attempt.sentAtMs());
     gateway.prefixCache().recordProcessed(request.metadata().prefix(), attempt.endpoint());
     if (!response.isStarted()) {
-      response.writeComplete(responseHead, responseHeaders, bufferedBody);
+      response.writeComplete(responseHead, responseHeaders, buffer.body());
     } else {
       response.end();
     }
@@ -260,8 +262,11 @@
 
   @Override
   public void onFailed(RequestAttempt attempt, AttemptFailure failure, String cause) {
-    currentAttempt = null;
     EndpointEntry endpoint = attempt.endpoint();
+    if (failure == AttemptFailure.REFUSED_GONE) {
+      attempts.cancel();
+    }
+    boolean othersOpen = attempts.remove(attempt);
     boolean brokeAgain =
         failure == AttemptFailure.BROKEN && isRetryable() && crashDetector.hasBroken(endpoint);
     gateway.metrics().countFailedAttempt(failure.name());
@@ -279,6 +284,9 @@
       crashDetector.recordBroken(endpoint);
       gateway.loads().recordOutcome(endpoint.id(), false, now());
     }
+    if (othersOpen) {
+      return;
+    }
     if (failure == AttemptFailure.UNREACHABLE) {
       crashDetector.reportCrash(endpoint);
     }
@@ -287,8 +295,7 @@
       crashDetector.checkWithoutRetry(endpoint);
     }
     eventSplitter.prepareResume();
-    bufferedBody = Buffer.buffer();
-    tryResizeBuffer(0);
+    buffer.clear();
     if (brokeAgain) {
       gateway.vertx().setTimer(RECONNECT_DELAY_MS, fired -> checkForCrash(endpoint, cause));
     } else {
@@ -310,6 +317,9 @@
   }
 
   private void proceedAfterFailure(EndpointEntry endpoint, AttemptFailure failure, String cause) {
+    if (attempts.abandonRepeat()) {
+      return;
+    }
     RetryAction action = history.recordFailure(failure);
     log.logFailed(endpoint, failure, cause, history.attempts(), action);
     if (finished) {
@@ -396,7 +406,7 @@
         .acquire(endpoint, maxDelayMs)
         .onSuccess(
             permit -> {
-              if (finished) {
+              if (isSettled()) {
                 return;
               }
               if (!permit.granted()) {
@@ -446,8 +456,13 @@
     }
   }
 
+  // The earlier attempt may have received its response head while the request was being repeated.
+  private boolean isSettled() {
+    return finished || attempts.current() != null;
+  }
+
   private void reconnect(EndpointEntry endpoint) {
-    if (finished) {
+    if (isSettled()) {
       return;
     }
     if (isEligible(endpoint)) {
@@ -462,7 +477,7 @@
   }
 
   private void connect(EndpointEntry endpoint, boolean newConnection) {
-    if (finished) {
+    if (isSettled()) {
       return;
     }
     history.beginAttempt(endpoint.id());
@@ -474,7 +489,7 @@
             : connector.connect(endpoint, request.metadata().requestId()))
         .onSuccess(
             connection -> {
-              if (finished) {
+              if (isSettled()) {
                 gateway.connections().release(connection, Optional.empty());
               } else {
                 startAttempt(connection);
@@ -512,8 +527,10 @@
     RequestHeaderCodec.encode(
         request.headers(), headers, connection.endpoint(), leftMs, eventSplitter.lastId());
     log.logSent(connection, history.attempts(), leftMs, eventSplitter.lastId());
-    currentAttempt = new RequestAttempt(gateway, connection, this, request.metadata().requestId());
-    currentAttempt.start(
+    RequestAttempt attempt =
+        new RequestAttempt(gateway, connection, this, request.metadata().requestId());
+    attempts.add(attempt);
+    attempt.start(
         new RequestAttempt.OutboundRequest(
             request.method(),
             request.uri(),
@@ -526,11 +543,10 @@
     if (finished) {
       return;
     }
-    boolean sent = currentAttempt != null || history.mayHaveRun();
-    if (currentAttempt != null
-        && !currentAttempt.hasResponseStarted()
-        && !currentAttempt.isPathLost()) {
-      gateway.loads().recordOutcome(currentAttempt.endpoint().id(), false, now());
+    RequestAttempt attempt = attempts.current();
+    boolean sent = attempt != null || history.mayHaveRun();
+    if (attempt != null && !attempt.hasResponseStarted() && !attempt.isPathLost()) {
+      gateway.loads().recordOutcome(attempt.endpoint().id(), false, now());
     }
     if (response.isStarted()) {
       finish("timeout", 0);
@@ -556,35 +572,21 @@
     }
     finished = true;
     gateway.vertx().cancelTimer(timer);
-    if (currentAttempt != null) {
-      currentAttempt.cancel();
-      currentAttempt = null;
-    }
+    attempts.cancel();
     response.abort();
-    tryResizeBuffer(0);
+    buffer.clear();
     settle();
     gateway.metrics().countAnswered(status);
     gateway.metrics().recordDuration(request.route().name(), now() - request.arrivedMs());
-    log.line("request_ended")
-        .put("program", request.metadata().programId().orElse(""))
-        .put("route", request.route().name())
-        .put("outcome", outcome)
-        .put("status", status)
-        .put("events", eventSplitter.eventCount())
-        .put("sends", history.attempts())
-        .put("took_ms", now() - request.arrivedMs())
-        .put("config", gateway.routingState().tableVersion())
-        .write();
+    int events = eventSplitter.eventCount();
+    log.logEnded(request, outcome, status, events, history.attempts());
     onFinished.run();
   }
 
   private void settle() {
-    int tokensPerEvent = serviceSpec().map(ServiceSpec::tokensPerEvent).orElse(0);
-    reservation.settle(tokensPerEvent, eventSplitter.eventCount());
-  }
-
-  private Optional<ServiceSpec> serviceSpec() {
-    return gateway.routingState().table().flatMap(table -> table.service(service));
+    Optional<ServiceSpec> spec =
+        gateway.routingState().table().flatMap(table -> table.service(service));
+    reservation.settle(spec.map(ServiceSpec::tokensPerEvent).orElse(0), eventSplitter.eventCount());
   }
 
   @Override
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
@@ -55,6 +55,15 @@
         .write();
   }
 
+  /** Logs that the request is sent again beside an attempt whose connection carries no bytes. */
+  void logRepeated(RequestAttempt attempt) {
+    line("connection_silent")
+        .put("endpoint", attempt.endpoint().id().value())
+        .put("silent_ms", gateway.clock().millis() - attempt.lastReceivedAtMs())
+        .put("cause", "no bytes received on the connection")
+        .write();
+  }
+
   /** Logs the failure of an attempt and how the request proceeds. */
   void logFailed(
       EndpointEntry endpoint,
@@ -80,6 +89,20 @@
         .write();
   }
 
+  /** Logs the end of the request and its outcome. */
+  void logEnded(ClientRequest request, String outcome, int status, int events, int attempts) {
+    line("request_ended")
+        .put("program", metadata.programId().orElse(""))
+        .put("route", request.route().name())
+        .put("outcome", outcome)
+        .put("status", status)
+        .put("events", events)
+        .put("sends", attempts)
+        .put("took_ms", gateway.clock().millis() - request.arrivedMs())
+        .put("config", gateway.routingState().tableVersion())
+        .write();
+  }
+
   /** Starts a line that names the request. */
   DecisionLog.Line line(String event) {
     return gateway.log().line(event).put("request", metadata.requestId());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -7,6 +7,7 @@
 import io.magnoliaroute.core.gateway.EngineReport;
 import io.magnoliaroute.core.gateway.PrefixCacheIndex;
 import io.magnoliaroute.core.gateway.RequestLimits;
+import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.gateway.ServiceTimeAverages;
 import io.magnoliaroute.core.gateway.ServiceVersions;
 import io.magnoliaroute.core.gateway.VmEntry;
@@ -275,12 +276,32 @@
   private Watchdog.Prober createProber(
       EndpointPaths paths, EndpointConnectionPool connections, ReachabilityMonitor reachability) {
     EngineReportClient reportClient = new EngineReportClient(vertx, connections);
+    HealthCheckClient healthCheckClient = new HealthCheckClient(vertx, connections);
     return new Watchdog.Prober() {
       @Override
       public Future<Boolean> probe(EndpointEntry endpoint) {
         return reachability.probe(endpoint);
       }
 
+      @Override
+      public Future<Boolean> responds(EndpointEntry endpoint) {
+        Optional<ServiceSpec> service =
+            routingState.table().flatMap(table -> table.service(endpoint.service()));
+        if (service.isEmpty()) {
+          return Future.succeededFuture(false);
+        }
+        return requestPermits
+            .acquire(endpoint, 0)
+            .compose(
+                permit ->
+                    permit.granted()
+                        ? healthCheckClient
+                            .check(endpoint, paths.relay(endpoint.id()), service.get())
+                            .map(true)
+                        : Future.succeededFuture(false))
+            .otherwise(false);
+      }
+
       @Override
       public boolean isUnreachable(EndpointEntry endpoint) {
         return reachability.isUnreachable(endpoint);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -53,6 +53,11 @@
     /** Handles the failure of the attempt. */
     void onFailed(RequestAttempt attempt, AttemptFailure failure, String cause);
 
+    /**
+     * Handles an open attempt without a response whose connection has carried no bytes for long.
+     */
+    void onSilent(RequestAttempt attempt);
+
     /** Returns whether the request may be retried after an attempt that may have run it. */
     boolean isRetryable();
 
@@ -101,18 +106,24 @@
   }
 
   /**
-   * Returns when the attempt last received bytes, or when an engine report last confirmed that the
-   * request is active, whichever is later.
+   * Returns when the attempt last received bytes, or when its silence was last explained or
+   * reported, whichever is later.
    */
   long lastActiveAtMs() {
     return Math.max(lastReceivedAtMs, lastActiveAtMs);
   }
 
-  /** Records that an engine report has confirmed the request as active. */
+  /** Restarts the period of silence after an engine report has confirmed the request as active. */
   void confirmActive() {
     lastActiveAtMs = gateway.clock().millis();
   }
 
+  /** Reports the silence of the connection to the listener, which may repeat the request. */
+  void reportSilence() {
+    lastActiveAtMs = gateway.clock().millis();
+    listener.onSilent(this);
+  }
+
   long eventsReceived() {
     return eventsReceived;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -31,11 +31,20 @@
   static final long SILENCE_THRESHOLD_MS = 250;
 
   /**
-   * Time without received bytes after which a connection to an endpoint that is otherwise reachable
+   * Time without received bytes after which a connection to an endpoint that responds on others
    * counts as dead.
    */
   static final long DEAD_CONNECTION_THRESHOLD_MS = 1_300;
 
+  /**
+   * Time for which an endpoint has to respond on other connections before one counts as dead. An
+   * endpoint that goes on after a pause needs some time to respond to all requests.
+   */
+  private static final long MIN_RESPONDING_MS = 1_000;
+
+  /** Longest time between two responses of an endpoint that has responded all the while. */
+  private static final long MAX_RESPONSE_GAP_MS = 500;
+
   /**
    * Time without received bytes after which a request is sent to another endpoint if its endpoint
    * accepts no connections either; a sound endpoint may pause for a second.
@@ -58,8 +67,10 @@
   private final DecisionLog log;
   private final Set<RequestAttempt> openAttempts = new LinkedHashSet<>();
   private final Map<EndpointId, Long> lastReceivedAtMs = new HashMap<>();
+  private final Map<EndpointId, Long> respondingSinceMs = new HashMap<>();
   private final Map<EndpointId, Long> lastAcceptedAtMs = new HashMap<>();
   private final Set<EndpointId> probing = new LinkedHashSet<>();
+  private final Set<EndpointId> checkingHealth = new LinkedHashSet<>();
   private final Set<RequestAttempt> awaitingReport = new LinkedHashSet<>();
   private Prober prober;
   private long lastCheckAtMs;
@@ -70,6 +81,9 @@
     /** Opens a connection and returns whether the endpoint accepted it. */
     Future<Boolean> probe(EndpointEntry endpoint);
 
+    /** Sends a health check and returns whether the endpoint responded in time. */
+    Future<Boolean> responds(EndpointEntry endpoint);
+
     /** Returns whether no path reaches the endpoint. */
     boolean isUnreachable(EndpointEntry endpoint);
 
@@ -102,7 +116,10 @@
   }
 
   void recordReceipt(EndpointId endpoint, long nowMs) {
-    lastReceivedAtMs.put(endpoint, nowMs);
+    Long previousMs = lastReceivedAtMs.put(endpoint, nowMs);
+    if (previousMs == null || nowMs - previousMs > MAX_RESPONSE_GAP_MS) {
+      respondingSinceMs.put(endpoint, nowMs);
+    }
   }
 
   int openCount() {
@@ -150,18 +167,32 @@
     boolean reachable =
         Math.max(lastAcceptedMs, lastReceivedAtMs.getOrDefault(id, 0L))
             > attempt.lastReceivedAtMs();
+    boolean mayBeDead =
+        (attempt.isStream() || attempt.isPathLost())
+            ? reachable
+            : respondsOnOtherConnections(attempt, nowMs);
     long thresholdMs = attempt.isPathLost() ? SILENCE_THRESHOLD_MS : DEAD_CONNECTION_THRESHOLD_MS;
     boolean overdue = nowMs - attempt.lastActiveAtMs() >= thresholdMs;
-    if (!reachable || !attempt.isRetryable() || !overdue) {
+    if (!mayBeDead || !attempt.isRetryable() || !overdue) {
       return;
     }
     if (attempt.isStream()) {
       checkEngineReport(attempt);
-    } else {
+    } else if (attempt.hasResponseStarted()) {
       failSilent(attempt, "no bytes received on the connection");
+    } else {
+      attempt.reportSilence();
     }
   }
 
+  private boolean respondsOnOtherConnections(RequestAttempt attempt, long nowMs) {
+    EndpointId id = attempt.endpoint().id();
+    long respondedAtMs = lastReceivedAtMs.getOrDefault(id, 0L);
+    return respondedAtMs > attempt.lastReceivedAtMs()
+        && nowMs - respondedAtMs <= MAX_RESPONSE_GAP_MS
+        && nowMs - respondingSinceMs.get(id) >= MIN_RESPONDING_MS;
+  }
+
   private void failSilent(RequestAttempt attempt, String cause) {
     log.line("connection_silent")
         .put("endpoint", attempt.endpoint().id().value())
@@ -211,13 +242,32 @@
               probing.remove(endpoint.id());
               if (done.succeeded() && done.result()) {
                 lastAcceptedAtMs.put(endpoint.id(), clock.millis());
+                checkHealthIfNeeded(endpoint);
               } else {
                 handleUnreachable(endpoint);
               }
             });
   }
 
-  private void handleUnreachable(EndpointEntry endpoint) {
+  // Streams need no health check, because the engine's report decides about them.
+  private void checkHealthIfNeeded(EndpointEntry endpoint) {
+    boolean needed =
+        silentAttempts(endpoint).stream().anyMatch(each -> each.isRetryable() && !each.isStream());
+    if (!needed || !checkingHealth.add(endpoint.id())) {
+      return;
+    }
+    prober
+        .responds(endpoint)
+        .onComplete(
+            done -> {
+              checkingHealth.remove(endpoint.id());
+              if (done.succeeded() && done.result()) {
+                recordReceipt(endpoint.id(), clock.millis());
+              }
+            });
+  }
+
+  private List<RequestAttempt> silentAttempts(EndpointEntry endpoint) {
     List<RequestAttempt> silentAttempts = new ArrayList<>();
     for (RequestAttempt attempt : openAttempts) {
       if (attempt.endpoint().id().equals(endpoint.id())
@@ -225,6 +275,11 @@
         silentAttempts.add(attempt);
       }
     }
+    return silentAttempts;
+  }
+
+  private void handleUnreachable(EndpointEntry endpoint) {
+    List<RequestAttempt> silentAttempts = silentAttempts(endpoint);
     log.line("endpoint_unreachable")
         .put("endpoint", endpoint.id().value())
         .put("requests", silentAttempts.size())
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PausedEndpointTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PausedEndpointTest.java
@@ -70,6 +70,13 @@
     assertFailureIsPassedOn(Cut.SILENT, pauseMs, status);
   }
 
+  @ParameterizedTest(name = "{0} ms, status {1}")
+  @CsvSource({"1000,500", "1200,500", "1400,500", "1000,504", "1200,504", "1400,504"})
+  @DisplayName("passes on the endpoint's failure, also if it accepted connections meanwhile")
+  void failureIsNotReplacedAfterPauseWithConnections(long pauseMs, int status) throws IOException {
+    assertFailureIsPassedOn(Cut.ACCEPTS_ONLY, pauseMs, status);
+  }
+
   @Test
   @DisplayName("sends the request to no other endpoint, and suspects it of no crash")
   void requestsRunOnOneEndpointAndAreNotQuarantined() throws IOException {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/ReplacedResponseTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/ReplacedResponseTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.magnoliaroute.daemon.gateway.GatewayTestEnvironment.Response;
-import io.magnoliaroute.daemon.support.KnownRed;
 import java.io.IOException;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -97,7 +96,6 @@
   }
 
   @Test
-  @KnownRed
   @DisplayName("after a pause, the client gets the failure")
   void failureAfterPauseIsNotReplaced() {
     environment.startScriptedEndpoint(
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
@@ -16,6 +16,7 @@
 
   private static final int DEFAULT_TIMEOUT_MS = 2_000;
   private static final int BRIEF_TIMEOUT_MS = 200;
+  private static final int SLOW_TIMEOUT_MS = 4_000;
   private static final int STREAM_TIMEOUT_MS = 4_000;
 
   private StandinConfiguration() {}
@@ -32,6 +33,7 @@
             route("safe", "/safe/", "safe", DEFAULT_TIMEOUT_MS, false),
             route("extra", extraPrefix, "safe", DEFAULT_TIMEOUT_MS, false),
             route("brief", "/brief/", "safe", BRIEF_TIMEOUT_MS, false),
+            route("slow", "/slow/", "safe", SLOW_TIMEOUT_MS, false),
             route("unsafe", "/unsafe/", "unsafe", DEFAULT_TIMEOUT_MS, false),
             route("stream", "/stream/", "stream", STREAM_TIMEOUT_MS, true),
             route("plainstream", "/plainstream/", "stream", STREAM_TIMEOUT_MS, false));
