Keep a stream whose engine does not report in time

Cause: a stream that carries no bytes for 1.3 s is checked with a report of its engine. A report that timed out counted as evidence against the connection, and so did a late one that counted events which were still on their way. Both happen when the engine is paused. The stream was given up and sent again, while the engine went on with it.

Change: a report that times out, or a connection for it that does, decides nothing; the report is requested again. A prompt report that does not know the stream, and a connection for it that is refused or closed, end the attempt as before. A stream that is silent for good still ends at its deadline or when its client disconnects.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EngineReportClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EngineReportClient.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import java.util.concurrent.TimeoutException;
 
 /** Fetches the status reports of model engines. Confined to one event loop. */
 final class EngineReportClient {
@@ -32,7 +33,8 @@
   }
 
   /**
-   * Fetches a report over a separate connection, which is closed afterwards.
+   * Fetches a report over a separate connection, which is closed afterwards. Fails with a {@link
+   * TimeoutException} if the engine accepts the connection and sends no report in time.
    *
    * @param relay the VM through which the connection leads; empty for a direct connection
    * @param maxConnections the number of connections that the endpoint accepts from all VMs
@@ -45,7 +47,10 @@
     Promise<EngineReport> report = Promise.promise();
     long timer =
         vertx.setTimer(
-            TIMEOUT_MS, fired -> report.tryFail("no engine report within " + TIMEOUT_MS + " ms"));
+            TIMEOUT_MS,
+            fired ->
+                report.tryFail(
+                    new TimeoutException("no engine report within " + TIMEOUT_MS + " ms")));
     connection.onClose(() -> report.tryFail("connection closed"));
     RequestOptions options =
         new RequestOptions().setMethod(HttpMethod.GET).setURI(EngineReportDecoder.PATH);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -4,15 +4,18 @@
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EngineReport;
 import io.magnoliaroute.core.model.EndpointId;
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeoutException;
 
 /**
  * Detects endpoints and connections from which no bytes arrive any more. An endpoint that is silent
@@ -72,6 +75,7 @@
   private final Set<EndpointId> probing = new LinkedHashSet<>();
   private final Set<EndpointId> checkingHealth = new LinkedHashSet<>();
   private final Set<RequestAttempt> awaitingReport = new LinkedHashSet<>();
+  private final Set<RequestAttempt> unconfirmedLost = new HashSet<>();
   private Prober prober;
   private long lastCheckAtMs;
 
@@ -113,6 +117,7 @@
 
   void remove(RequestAttempt attempt) {
     openAttempts.remove(attempt);
+    unconfirmedLost.remove(attempt);
   }
 
   void recordReceipt(EndpointId endpoint, long nowMs) {
@@ -208,6 +213,7 @@
     if (!awaitingReport.add(attempt)) {
       return;
     }
+    long requestedAtMs = clock.millis();
     long receivedBeforeMs = attempt.lastReceivedAtMs();
     log.line("report_requested").put("endpoint", attempt.endpoint().id().value()).write();
     prober
@@ -220,17 +226,27 @@
                 return;
               }
               if (done.failed()) {
-                failSilent(attempt, "engine report failed: " + done.cause().getMessage());
+                handleReportFailure(attempt, done.cause());
               } else if (done.result()
                   .map(each -> each.mayBeHealthy(attempt.requestId(), attempt.eventsReceived()))
                   .orElse(true)) {
                 attempt.confirmActive();
-              } else {
+                unconfirmedLost.remove(attempt);
+              } else if (clock.millis() - requestedAtMs < SILENCE_THRESHOLD_MS
+                  || !unconfirmedLost.add(attempt)) {
+                // After a pause, the report may arrive before the events that it counts.
                 failSilent(attempt, "request is unknown to the engine or its events were lost");
               }
             });
   }
 
+  // An engine that does not respond may be paused, so the stream waits for the next report.
+  private void handleReportFailure(RequestAttempt attempt, Throwable cause) {
+    if (!(cause instanceof TimeoutException) && !(cause instanceof ConnectTimeoutException)) {
+      failSilent(attempt, "engine report failed: " + cause.getMessage());
+    }
+  }
+
   private void probe(EndpointEntry endpoint) {
     if (!probing.add(endpoint.id())) {
       return;
