Close an idle connection as soon as any byte arrives on it

Cause: bytes that arrived between two requests closed the connection only once they formed a head. A part of a head stayed in the decoder and became the beginning of the next response. A connection that was being closed for such bytes also stayed in the pool until Vert.x reported it closed, and could carry a request meanwhile, which then failed with "connection closed" (502 for an action that no endpoint had received).

Change: EndpointResponseDecoder reports bytes that arrive while no request awaits a response, before they are decoded, and discards them; the pool closes the connection if it is idle, or does not take it back. Closing a connection removes it from the pool at once. Engine reports, which carry no id, are read unchecked on their own connections.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
@@ -64,9 +64,14 @@
         new EndpointResponseDecoder.Request(requestId, isHead, reused), listener);
   }
 
-  /** Returns whether surplus responses have arrived, after which the connection is not reused. */
-  boolean hasDiscardedResponses() {
-    return responses.hasDiscardedResponses();
+  /** Begins to await the response to the only request on this connection. */
+  void awaitAnyResponse() {
+    responses.awaitAnyResponse();
+  }
+
+  /** Returns whether surplus bytes have arrived, after which the connection is not reused. */
+  boolean hasDiscardedBytes() {
+    return responses.hasDiscardedBytes();
   }
 
   /** Returns whether one of the latest requests on the connection had this id. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -141,12 +141,11 @@
         .onComplete(done -> pool.connecting--)
         .map(
             connection -> {
+              EndpointResponseDecoder responses =
+                  EndpointResponseDecoder.install(connection, MAX_HEADER_BYTES);
               EndpointConnection pooled =
-                  new EndpointConnection(
-                      endpoint,
-                      relay,
-                      connection,
-                      EndpointResponseDecoder.install(connection, MAX_HEADER_BYTES));
+                  new EndpointConnection(endpoint, relay, connection, responses);
+              responses.onUnexpectedBytes(() -> closeIfIdle(pooled));
               pool.open.add(pooled);
               connection.exceptionHandler(e -> close(pooled));
               connection.closeHandler(
@@ -183,7 +182,7 @@
     if (connection.isClosed()) {
       return;
     }
-    if (connection.isPathLost() || connection.hasDiscardedResponses()) {
+    if (connection.isPathLost() || connection.hasDiscardedBytes()) {
       close(connection);
       return;
     }
@@ -195,6 +194,7 @@
   /** Closes a connection, which aborts the request that it carries, if any. */
   void close(EndpointConnection connection) {
     if (!connection.isClosed()) {
+      pools.get(connection.endpoint().id()).idle.remove(connection);
       connection.connection().close();
     }
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
@@ -47,6 +47,7 @@
         }
       };
   private final ResponseStart responseStart = new ResponseStart();
+  private Runnable onUnexpectedBytes = () -> {};
   private Phase phase = Phase.IDLE;
   private Request request;
   private Listener listener;
@@ -58,14 +59,15 @@
 
   /** What the next decoded object is part of. */
   private enum Phase {
-    /** No request awaits a response. */
+    /** No request awaits a response; the endpoint must not send anything. */
     IDLE,
     AWAITING_HEAD,
     INTERIM_RESPONSE,
     /** The response that is passed on, whether it belongs to the request or not. */
     PASSED_RESPONSE,
     SURPLUS_RESPONSE,
-    /** The attempt has failed; the connection is about to be closed. */
+    UNCHECKED,
+    /** The connection is about to be closed; further bytes are discarded. */
     FAILED
   }
 
@@ -106,9 +108,14 @@
     return decoder;
   }
 
-  /** Returns whether a surplus response has arrived on the connection. */
-  boolean hasDiscardedResponses() {
-    return surplusResponses > 0;
+  /** Sets the handler that runs once when bytes arrive while no request awaits a response. */
+  void onUnexpectedBytes(Runnable handler) {
+    onUnexpectedBytes = handler;
+  }
+
+  /** Returns whether surplus bytes have arrived, of which more may follow. */
+  boolean hasDiscardedBytes() {
+    return surplusResponses > 0 || phase == Phase.FAILED;
   }
 
   /** Returns whether one of the latest requests on the connection had this id. */
@@ -118,10 +125,17 @@
 
   /** Begins to await the response to a request that is about to be written. */
   void awaitResponse(Request newRequest, Listener newListener) {
-    request = newRequest;
-    listener = newListener;
-    phase = Phase.AWAITING_HEAD;
-    responseStart.reset();
+    if (phase == Phase.IDLE) {
+      request = newRequest;
+      listener = newListener;
+      phase = Phase.AWAITING_HEAD;
+      responseStart.reset();
+    }
+  }
+
+  /** Begins to pass on all bytes as they are; used for the connection's only request. */
+  void awaitAnyResponse() {
+    phase = Phase.UNCHECKED;
   }
 
   /**
@@ -135,6 +149,10 @@
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
+    if (phase == Phase.IDLE && in.isReadable()) {
+      phase = Phase.FAILED;
+      onUnexpectedBytes.run();
+    }
     if (phase == Phase.FAILED) {
       in.skipBytes(in.readableBytes());
       return;
@@ -165,7 +183,7 @@
   }
 
   private boolean respondsToHead(HttpMessage message) {
-    if (request == null || phase == Phase.IDLE) {
+    if (phase != Phase.AWAITING_HEAD) {
       return false;
     }
     String id = decodeHead((HttpResponse) message).requestId().orElse(request.id());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EngineReportClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EngineReportClient.java
@@ -52,6 +52,7 @@
                 report.tryFail(
                     new TimeoutException("no engine report within " + TIMEOUT_MS + " ms")));
     connection.onClose(() -> report.tryFail("connection closed"));
+    connection.awaitAnyResponse();
     RequestOptions options =
         new RequestOptions().setMethod(HttpMethod.GET).setURI(EngineReportDecoder.PATH);
     connection
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/HealthCheckClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/HealthCheckClient.java
@@ -46,6 +46,7 @@
         vertx.setTimer(
             TIMEOUT_MS, fired -> responded.tryFail("no response within " + TIMEOUT_MS + " ms"));
     connection.onClose(() -> responded.tryFail("connection closed"));
+    connection.awaitAnyResponse();
     connection
         .connection()
         .request(new RequestOptions().setMethod(HttpMethod.GET).setURI(path))
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -164,6 +164,10 @@
     gateway.loads().recordRequestStart(endpoint().id());
     gateway.watchdog().add(this);
     connection.onClose(() -> handleConnectionFailure("connection closed"));
+    if (connection.hasDiscardedBytes()) {
+      handleConnectionFailure("bytes received before the request was sent");
+      return;
+    }
     connection.awaitResponse(requestId, outbound.method(), new SurplusListener());
     RequestOptions options =
         new RequestOptions().setMethod(outbound.method()).setURI(outbound.uri());
