Reuse no connection whose request has not been written whole

Cause: HttpClientRequest.send completes with the response, not with the write, so every attempt counted as written as soon as its response had come. A connection on which an endpoint had responded early went back to the pool with the rest of a request unwritten; the next request waited behind it, was given up as silent after 1.3 s and ran again.

Change: the attempt uses the future of end(body), which completes with the write.

Evidence: on the code before, EarlyResponseTest .connectionWithUnwrittenRequestIsNotReused failed with "expected: <0> but was: <1>" failed attempts (response_lost of the next request, "no bytes received on the connection", waited 1339 ms); both tests of the class pass now.

The receive buffer of RawEndpoint is set to 16 KB, since a larger one takes the whole of a 4 MB request.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -228,8 +228,7 @@
     request.continueHandler(go -> countInterimResponse());
     request.response().onSuccess(this::handleResponse);
     request.response().onFailure(e -> handleConnectionFailure(String.valueOf(e.getMessage())));
-    request.send(outbound.body()).onSuccess(sent -> requestWritten = true);
-    request.end().onSuccess(sent -> requestWritten = true);
+    request.end(outbound.body()).onSuccess(written -> requestWritten = true);
   }
 
   // Every interim response takes time on the event loop, and a faulty endpoint may send an
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RawEndpoint.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RawEndpoint.java
@@ -16,6 +16,10 @@
 final class RawEndpoint {
 
   private static final Pattern REQUEST_ID = Pattern.compile("(?i)x-request-id: (\\S+)\r\n");
+
+  /** Small, so that the VM cannot write a long request before the endpoint reads it. */
+  private static final int RECEIVE_BUFFER_BYTES = 16_384;
+
   private static final String HEAD_END = "\r\n\r\n";
 
   private final Vertx vertx;
@@ -102,7 +106,11 @@
   }
 
   Future<Integer> start() {
-    server = vertx.createNetServer(new NetServerOptions().setSoLinger(resets ? 0 : -1));
+    NetServerOptions options =
+        new NetServerOptions()
+            .setSoLinger(resets ? 0 : -1)
+            .setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    server = vertx.createNetServer(options);
     return server
         .connectHandler(this::handleConnection)
         .listen(0, "127.0.0.1")
