Read a response that precedes the end of a long request

Cause: an endpoint may respond before it has read a long request, and close. Its kernel resets the connection. If bytes of the request are still to be written, the write fails first; Netty then closes the channel, and the received response is never read. The attempt ended as "connection closed" with no bytes received, and the request ran again.

Change: a failed write no longer closes the connection. It is read on until its end, which is at hand, since a write fails only on a broken connection; the end closes the channel as before. The failed write takes the error of the reset from the socket, so that the end looks like a regular one: a response that only the end of its connection delimits counts as incomplete if the request was not written whole.

That a request is written whole to an endpoint that reads on later held before.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
@@ -94,7 +94,11 @@
     super(config);
   }
 
-  /** Makes a connection that has just been opened discard surplus responses. */
+  /**
+   * Makes a connection that has just been opened discard surplus responses, and read on after a
+   * failed write: an endpoint may respond and close the connection before it has read the whole
+   * request.
+   */
   static EndpointResponseDecoder install(HttpClientConnection connection, int maxHeadBytes) {
     HttpDecoderConfig config =
         new HttpDecoderConfig()
@@ -102,6 +106,7 @@
             .setMaxHeaderSize(maxHeadBytes);
     EndpointResponseDecoder decoder = new EndpointResponseDecoder(config);
     ChannelPipeline pipeline = ClientPipelines.of(connection);
+    pipeline.channel().config().setAutoClose(false);
     pipeline.addAfter("codec", "requestEncoder", new HttpRequestEncoder());
     pipeline.replace("codec", "responseDecoder", decoder);
     pipeline.addBefore("responseDecoder", "responseStart", decoder.responseStart);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -303,6 +303,11 @@
       complete();
       return;
     }
+    // After a failed write, a reset connection ends like one that the endpoint has closed.
+    if (!requestWritten) {
+      fail(AttemptFailure.BROKEN, "the connection ended before the request was written");
+      return;
+    }
     responseEnded = true;
     gateway
         .tunnelEnds()
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EarlyResponseTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EarlyResponseTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.magnoliaroute.daemon.support.Await;
 import io.magnoliaroute.daemon.support.RawClient;
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
@@ -13,6 +14,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses that are lost because the endpoint has not read the whole request. */
 @DisplayName("When an endpoint responds before it has read a long request")
@@ -64,6 +68,62 @@
         .formatted(status, call.id(), framing);
   }
 
+  /** Starts an endpoint that reads only the head of the first run, and responds to it at once. */
+  private RawEndpoint startEndpoint(int status, String framing, boolean resets) {
+    return environment.startScriptedEndpoint(
+        call -> {
+          if (call.number() > 1) {
+            call.write(call.completeResponse("second run"));
+            return;
+          }
+          call.socket().pause();
+          // The VM finds the response and the end of the connection at the same time.
+          call.vertx()
+              .setTimer(
+                  ARRIVAL_MS,
+                  fired -> {
+                    Runnable resumeVm = environment.pauseVm();
+                    call.write(failure(call, status, framing));
+                    call.vertx().setTimer(ARRIVAL_MS, written -> call.socket().close());
+                    call.vertx().setTimer(2 * ARRIVAL_MS, closed -> resumeVm.run());
+                  });
+        },
+        resets);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "/safe/x, 500, false",
+    "/safe/x, 500, true",
+    "/safe/x, 413, true",
+    "/stream/x, 500, false",
+    "/stream/x, 500, true"
+  })
+  @DisplayName("and closes the connection, the client gets the failure and not a second run")
+  void failureIsNotReplacedBySecondRun(String path, int status, boolean resets) throws IOException {
+    RawEndpoint endpoint = startEndpoint(status, "Content-Length: 5", resets);
+
+    String response = send(path);
+
+    assertTrue(response.startsWith("HTTP/1.1 " + status + " "), response);
+    assertTrue(response.endsWith("error"), response);
+    assertEquals(List.of("early"), endpoint.requestIds());
+    Await.until("the connections are closed", () -> endpoint.openConnections() == 0);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  @DisplayName("and only the end of the connection ends its failure, it is not replaced")
+  void failureWithoutLengthIsNotReplacedBySecondRun(boolean resets) throws IOException {
+    RawEndpoint endpoint = startEndpoint(500, "Connection: close", resets);
+
+    String response = send("/safe/x");
+
+    assertTrue(response.startsWith("HTTP/1.1 502 "), response);
+    assertEquals(List.of("early"), endpoint.requestIds());
+    Await.until("the connections are closed", () -> endpoint.openConnections() == 0);
+  }
+
   @Test
   @DisplayName("and keeps the connection open, no other request follows on that connection")
   void connectionWithUnwrittenRequestIsNotReused() throws IOException {
