Relay a response that precedes the end of a long request

Cause: as on a direct connection, a relay closed its connection to an endpoint when a write failed, and lost the response that the endpoint had given before it closed. The calling VM saw a lost response and ran the request again.

Change: a failed write no longer closes the relay's connection to the endpoint; the response is relayed and the end of the connection closes it. A tunnel in which a write failed is not reported as closed by the endpoint, since a reset then looks like a regular end.

Evidence: EarlyResponseTest.relayedFailureIsNotReplacedBySecondRun failed in both cases before ("HTTP/1.1 200 OK"; response_lost with path vm-2, "connection closed", status 0) and passes now, with the other 9 tests of the class, PartitionedVmTest, SilentEndpointTest, CrashingRequestTest, ResponseEndTest and GatewayTest.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
@@ -5,6 +5,7 @@
 import io.magnoliaroute.wire.PeerMessage;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
@@ -187,6 +188,8 @@
       }
       metrics.count("tunnels_opened");
       endedTunnels.remove(callerAddress);
+      // An endpoint may respond and close the connection before it has read the whole request.
+      ((NetSocketInternal) endpoint).channelHandlerContext().channel().config().setAutoClose(false);
       endpoint.exceptionHandler(
           e -> {
             recordEnd(callerAddress, false);
@@ -207,7 +210,7 @@
       from.handler(
           bytes -> {
             lastActiveAtMs = clock.millis();
-            to.write(bytes);
+            to.write(bytes).onFailure(e -> recordEnd(callerAddress, false));
             if (to.writeQueueFull()) {
               from.pause();
               to.drainHandler(drained -> from.resume());
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EarlyResponseTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EarlyResponseTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
@@ -34,6 +35,7 @@
   private static final int MAX_FIRST_READ_BYTES = 65_536;
 
   private GatewayTestEnvironment environment;
+  private boolean responded;
 
   @BeforeEach
   void start() {
@@ -71,24 +73,26 @@
   /** Starts an endpoint that reads only the head of the first run, and responds to it at once. */
   private RawEndpoint startEndpoint(int status, String framing, boolean resets) {
     return environment.startScriptedEndpoint(
-        call -> {
-          if (call.number() > 1) {
-            call.write(call.completeResponse("second run"));
-            return;
-          }
-          call.socket().pause();
-          // The VM finds the response and the end of the connection at the same time.
-          call.vertx()
-              .setTimer(
-                  ARRIVAL_MS,
-                  fired -> {
-                    Runnable resumeVm = environment.pauseVm();
-                    call.write(failure(call, status, framing));
-                    call.vertx().setTimer(ARRIVAL_MS, written -> call.socket().close());
-                    call.vertx().setTimer(2 * ARRIVAL_MS, closed -> resumeVm.run());
-                  });
-        },
-        resets);
+        call -> respondEarly(call, failure(call, status, framing), environment::pauseVm), resets);
+  }
+
+  private void respondEarly(RawEndpoint.Call call, String failure, Supplier<Runnable> pauseVm) {
+    if (!call.id().equals("early") || responded) {
+      call.write(call.completeResponse("second run"));
+      return;
+    }
+    responded = true;
+    call.socket().pause();
+    // The VM finds the response and the end of the connection at the same time.
+    call.vertx()
+        .setTimer(
+            ARRIVAL_MS,
+            fired -> {
+              Runnable resumeVm = pauseVm.get();
+              call.write(failure);
+              call.vertx().setTimer(ARRIVAL_MS, written -> call.socket().close());
+              call.vertx().setTimer(2 * ARRIVAL_MS, closed -> resumeVm.run());
+            });
   }
 
   @ParameterizedTest
@@ -124,6 +128,27 @@
     Await.until("the connections are closed", () -> endpoint.openConnections() == 0);
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  @DisplayName("and closes the connection to a relay, the client gets no second run")
+  void relayedFailureIsNotReplacedBySecondRun(boolean hasLength) throws IOException {
+    VmLinks links = environment.joinSecondVmWithOwnLinks();
+    String framing = hasLength ? "Content-Length: 5" : "Connection: close";
+    RawEndpoint endpoint =
+        environment.startScriptedEndpoint(
+            links,
+            call -> respondEarly(call, failure(call, 500, framing), environment::pauseSecondVm),
+            true);
+    links.cut(EndpointLink.Cut.RESET);
+    assertEquals(List.of(200), environment.sendConcurrently(1, "GET", "/safe/x"));
+    int runsBefore = endpoint.requestIds().size();
+
+    String response = send("/safe/x");
+
+    assertTrue(response.startsWith("HTTP/1.1 " + (hasLength ? 500 : 502) + " "), response);
+    assertEquals(runsBefore + 1, endpoint.requestIds().size());
+  }
+
   @Test
   @DisplayName("and keeps the connection open, no other request follows on that connection")
   void connectionWithUnwrittenRequestIsNotReused() throws IOException {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -398,6 +398,11 @@
     return TestRuntime.pause(vmVertx);
   }
 
+  /** Pauses the second VM until the result runs. */
+  Runnable pauseSecondVm() {
+    return TestRuntime.pause(secondVertx);
+  }
+
   /** Stops the first VM without a graceful shutdown; its state in memory is lost. */
   void killVm() {
     Await.result(vmVertx.close());
