Answer 502 when a cut-off surplus response is joined with the own one

Cause: if a repeated response is cut off in its head or body, the response to the current request begins inside it. The result was malformed, and the request ran again although its response was there, or it was readable: the status line and first fields of the repeated response with the id, seal and body of the own one. For a repeated refusal, that was a 503 that reports a request as not run which has run.

The client gets 502. Bytes on a used connection that contain no status line at all are retried as before, and so is a malformed response on a new connection.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptFailure.java
@@ -15,8 +15,8 @@
   /** The connection broke, or the received bytes were not a response to this request. */
   BROKEN(true, false),
   /**
-   * The endpoint responded with a failure that did not arrive whole, or with one whose beginning is
-   * all that arrived.
+   * The endpoint responded, or may have, with a failure that cannot be read whole: it broke off, or
+   * is joined with another response.
    */
   FAILED_INCOMPLETE(true, false),
   /**
@@ -44,7 +44,7 @@
    * Returns whether the endpoint may have responded with a failure. A success of another run must
    * not replace it.
    */
-  boolean isFinal() {
+  public boolean isFinal() {
     return this == FAILED_INCOMPLETE;
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
@@ -1,5 +1,6 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.magnoliaroute.core.gateway.AttemptFailure;
 import io.magnoliaroute.platform.ResponseHead;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -37,6 +38,8 @@
   /** Number of earlier requests whose methods are kept, which tell the length of a response. */
   private static final int MAX_EARLIER_REQUESTS = 32;
 
+  private static final String PROTOCOL = "HTTP/1.";
+
   private final Map<String, Boolean> earlierRequests =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -51,6 +54,9 @@
   private Phase phase = Phase.IDLE;
   private Request request;
   private Listener listener;
+  private TokenMatcher ownId;
+  private boolean statusLineReceived;
+  private int protocolBytes;
   private ResponseHead surplusHead;
   private int surplusResponses;
   private long surplusBytes;
@@ -66,6 +72,7 @@
     /** The response that is passed on, whether it belongs to the request or not. */
     PASSED_RESPONSE,
     SURPLUS_RESPONSE,
+    /** All responses are passed on. */
     UNCHECKED,
     /** The connection is about to be closed; further bytes are discarded. */
     FAILED
@@ -86,8 +93,8 @@
     /** Handles a complete response that does not belong to the request and was discarded. */
     void onSurplusResponse(ResponseHead head, long bodyBytes);
 
-    /** Handles surplus responses that exceed a limit. */
-    void onSurplusLimitExceeded(String cause);
+    /** Handles received bytes that end the attempt to run the request. */
+    void onFailure(AttemptFailure failure, String cause);
   }
 
   private EndpointResponseDecoder(HttpDecoderConfig config) {
@@ -133,6 +140,8 @@
     if (phase == Phase.IDLE) {
       request = newRequest;
       listener = newListener;
+      statusLineReceived = false;
+      protocolBytes = 0;
       phase = Phase.AWAITING_HEAD;
       responseStart.reset();
     }
@@ -164,14 +173,30 @@
     }
     int first = out.size();
     int surplusBefore = surplusResponses;
+    int start = in.readerIndex();
     super.decode(context, in, out);
-    filter(out, first);
+    if (phase == Phase.AWAITING_HEAD && !statusLineReceived) {
+      findStatusLine(in, start);
+    }
+    if (!closing) {
+      filter(out, first);
+    }
     if (surplusResponses > surplusBefore) {
       responseStart.reset();
       responseStart.read(in);
     }
   }
 
+  private void findStatusLine(ByteBuf in, int start) {
+    for (int i = start; i < in.readerIndex() && !statusLineReceived; i++) {
+      char next = (char) in.getByte(i);
+      boolean matches = next == PROTOCOL.charAt(protocolBytes);
+      protocolBytes = matches ? protocolBytes + 1 : next == PROTOCOL.charAt(0) ? 1 : 0;
+      statusLineReceived = protocolBytes == PROTOCOL.length();
+    }
+  }
+
+  // The super class calls decode for the remaining bytes.
   @Override
   protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
@@ -188,7 +213,8 @@
   }
 
   private boolean respondsToHead(HttpMessage message) {
-    if (phase != Phase.AWAITING_HEAD) {
+    if (phase != Phase.AWAITING_HEAD
+        || !(request.isHead() || earlierRequests.containsValue(true))) {
       return false;
     }
     String id = decodeHead((HttpResponse) message).requestId().orElse(request.id());
@@ -213,6 +239,10 @@
     if (phase != Phase.AWAITING_HEAD) {
       return phase != Phase.FAILED;
     }
+    if (isPartOfSeveral(response)) {
+      fail(AttemptFailure.FAILED_INCOMPLETE, "head is joined from several responses");
+      return false;
+    }
     if (isInterim(response)) {
       phase = Phase.INTERIM_RESPONSE;
       return true;
@@ -227,10 +257,21 @@
     }
     phase = Phase.SURPLUS_RESPONSE;
     surplusHead = head;
+    ownId = new TokenMatcher(request.id());
     skippedBytes = 0;
     return false;
   }
 
+  // If a repeated response is cut off, the next one begins inside it. The result may be malformed,
+  // or have the status of the former and the rest of the latter.
+  private boolean isPartOfSeveral(HttpResponse response) {
+    if (response.decoderResult().isFailure()) {
+      return request.discardsSurplus() && statusLineReceived && !closing;
+    }
+    return ResponseHead.isJoined(
+        response.status().reasonPhrase(), new HeadersAdaptor(response.headers()));
+  }
+
   // A protocol switch is final: the bytes after it are no HTTP.
   private static boolean isInterim(HttpResponse response) {
     return response.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -281,8 +322,11 @@
     skippedBytes += bytes;
     surplusBytes += bytes;
     if (surplusBytes > MAX_SURPLUS_BYTES) {
-      phase = Phase.FAILED;
-      listener.onSurplusLimitExceeded("surplus responses exceed " + MAX_SURPLUS_BYTES + " bytes");
+      fail(AttemptFailure.BROKEN, "surplus responses exceed " + MAX_SURPLUS_BYTES + " bytes");
+    } else if (content.decoderResult().isFailure()
+        || ownId.find(content.content())
+        || (isLast && hasOwnIdInTrailers((LastHttpContent) content))) {
+      fail(AttemptFailure.FAILED_INCOMPLETE, "response begins inside a surplus one");
     } else if (isLast) {
       surplusResponses++;
       phase = Phase.AWAITING_HEAD;
@@ -290,6 +334,16 @@
     }
   }
 
+  private boolean hasOwnIdInTrailers(LastHttpContent content) {
+    return content.trailingHeaders().entries().stream()
+        .anyMatch(field -> field.getValue().strip().equals(request.id()));
+  }
+
+  private void fail(AttemptFailure failure, String cause) {
+    phase = Phase.FAILED;
+    listener.onFailure(failure, cause);
+  }
+
   private static ResponseHead decodeHead(HttpResponse response) {
     return ResponseHead.decode(response.status().code(), new HeadersAdaptor(response.headers()));
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -120,6 +120,10 @@
 
   /** Reports the silence of the connection to the listener, which may repeat the request. */
   void reportSilence() {
+    if (mayHaveFailed()) {
+      fail(AttemptFailure.FAILED_INCOMPLETE, "the rest of the response does not arrive");
+      return;
+    }
     lastActiveAtMs = gateway.clock().millis();
     listener.onSilent(this);
   }
@@ -378,8 +382,8 @@
     }
 
     @Override
-    public void onSurplusLimitExceeded(String cause) {
-      fail(AttemptFailure.BROKEN, cause);
+    public void onFailure(AttemptFailure failure, String cause) {
+      fail(failure, cause);
     }
   }
 }
