End a repeated request with a failure that broke off on either connection

Cause: while a request is repeated beside its silent first connection, the failure of one attempt leaves the other one going. That held also for an endpoint's failure that broke off, and for one whose beginning is all that arrives, so that the success of the second run could replace it.

Evidence: IncompleteFailureTest.noSecondRunReplacesSilentFailure failed without the change; SilentConnectionTest.failureThatBreaksOffIsNotReplacedBySecondRun was written with it. Both pass, with the other tests of these classes.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -263,7 +263,7 @@
   @Override
   public void onFailed(RequestAttempt attempt, AttemptFailure failure, String cause) {
     EndpointEntry endpoint = attempt.endpoint();
-    if (failure == AttemptFailure.REFUSED_GONE) {
+    if (failure == AttemptFailure.REFUSED_GONE || failure.isFinal()) {
       attempts.cancel();
     }
     boolean othersOpen = attempts.remove(attempt);
@@ -291,7 +291,7 @@
       crashDetector.reportCrash(endpoint);
     }
     boolean brokeWithoutRetry = failure == AttemptFailure.BROKEN && !isRetryable();
-    if (brokeWithoutRetry || failure == AttemptFailure.FAILED_INCOMPLETE) {
+    if (brokeWithoutRetry || failure.isFinal()) {
       crashDetector.checkWithoutRetry(endpoint);
     }
     eventSplitter.prepareResume();
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/SilentConnectionTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/SilentConnectionTest.java
@@ -115,6 +115,23 @@
     assertEquals("run 2", response.body());
   }
 
+  @Test
+  @DisplayName("does not replace a failure that breaks off on the first connection")
+  void failureThatBreaksOffIsNotReplacedBySecondRun() {
+    environment.startScriptedEndpoint(
+        call -> {
+          if (call.number() == 1) {
+            call.writeLater(SLOW_MS, "HTTP/1.1 500 Fai");
+            call.vertx().setTimer(SLOW_MS + 20, fired -> call.socket().close());
+          } else {
+            long delayMs = call.id().isEmpty() ? 1 : SLOW_MS;
+            call.writeLater(delayMs, call.completeResponse("run " + call.number()));
+          }
+        });
+
+    assertEquals(502, environment.call("GET", "/slow/x", Map.of()).status());
+  }
+
   @Test
   @DisplayName("closes both connections of a repeated request if its client disconnects")
   void bothRunsAreCancelledWhenClientDisconnects() throws IOException {
