--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClient.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClient.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.List;
 
 /** What a client that exceeds its limits or does not finish sends on one connection. */
 enum AbusiveClient {
@@ -161,6 +163,67 @@
       connection.write("POST /-/ready HTTP/1.1\r\nHost: x\r\n" + CHUNKED + "\r\n\r\n");
       connection.writeRepeatedly("400\r\n" + "a".repeat(1_024) + "\r\n", ENDLESS_KB);
     }
+  },
+  RESPONSES_READ_IN_PART {
+    @Override
+    int connectionsPerClient() {
+      return 3;
+    }
+
+    @Override
+    boolean reads() {
+      return false;
+    }
+
+    @Override
+    void send(CrowdConnection connection) throws IOException {
+      connection.write(get(SizedEndpoint.LARGE_PATH, connection.nextRequestId()));
+      connection.readByte();
+    }
+  },
+  BODIES_THAT_WAIT_FOR_RESPONSES {
+    @Override
+    void send(CrowdConnection connection) throws IOException {
+      connection.write(
+          "POST "
+              + SizedEndpoint.SILENT_PATH
+              + " HTTP/1.1\r\nHost: "
+              + StandinConfiguration.HOST
+              + "\r\nX-Request-Id: "
+              + connection.nextRequestId()
+              + "\r\nContent-Length: "
+              + MAX_BODY_BYTES
+              + "\r\n\r\n");
+      connection.write(new byte[MAX_BODY_BYTES]);
+    }
+  },
+  SILENT_PEERS {
+    @Override
+    int port(PlatformProcess vm) {
+      return vm.peerPort();
+    }
+
+    @Override
+    int connectionsPerClient() {
+      return 16;
+    }
+
+    @Override
+    void send(CrowdConnection connection) {}
+  },
+  SILENT_READINESS_CHECKS {
+    @Override
+    int port(PlatformProcess vm) {
+      return vm.readyPort();
+    }
+
+    @Override
+    int connectionsPerClient() {
+      return 16;
+    }
+
+    @Override
+    void send(CrowdConnection connection) {}
   };
 
   /** The largest body that the configuration of the tests allows. */
@@ -194,10 +257,12 @@
   /** Writes what the client sends before it falls silent and stays. */
   abstract void send(CrowdConnection connection) throws IOException;
 
-  /** Returns the kind of each client of a crowd in which all kinds take turns. */
+  /** Returns the kind of each client of a crowd in which the first kinds take turns. */
   static AbusiveClient[] mixed(int clients) {
     AbusiveClient[] kinds = new AbusiveClient[clients];
-    Arrays.setAll(kinds, number -> values()[number % values().length]);
+    List<AbusiveClient> mixed =
+        List.copyOf(EnumSet.range(BODIES_WITH_LENGTH, READINESS_CHECKS_WITHOUT_END));
+    Arrays.setAll(kinds, number -> mixed.get(number % mixed.size()));
     return kinds;
   }
 
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClientsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClientsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.magnoliaroute.daemon.support.Await;
+import io.magnoliaroute.daemon.support.KnownRed;
 import io.magnoliaroute.daemon.support.PlatformProcess;
 import io.magnoliaroute.daemon.support.RawClient;
 import io.magnoliaroute.standin.users.StandinConfiguration;
@@ -205,4 +206,30 @@
   void survivesAllKindsAtOnce() throws Exception {
     survives(AbusiveClient.mixed(CLIENTS));
   }
+
+  @Test
+  @DisplayName("large responses that are read in part")
+  void survivesLargeResponsesReadInPart() throws Exception {
+    survives(AbusiveClient.RESPONSES_READ_IN_PART);
+  }
+
+  @Test
+  @DisplayName("large bodies that wait for responses")
+  void survivesLargeBodiesThatWaitForResponses() throws Exception {
+    survives(AbusiveClient.BODIES_THAT_WAIT_FOR_RESPONSES);
+  }
+
+  @Test
+  @KnownRed
+  @DisplayName("more silent peers than descriptors")
+  void survivesMoreSilentPeersThanDescriptors() throws Exception {
+    survives(AbusiveClient.SILENT_PEERS);
+  }
+
+  @Test
+  @KnownRed
+  @DisplayName("more silent readiness checks than descriptors")
+  void survivesMoreSilentReadinessChecksThanDescriptors() throws Exception {
+    survives(AbusiveClient.SILENT_READINESS_CHECKS);
+  }
 }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/CrowdConnection.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/CrowdConnection.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.daemon.gateway;
 
 import java.io.Closeable;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -71,6 +72,13 @@
     }
   }
 
+  /** Waits for the first byte of a response. */
+  void readByte() throws IOException {
+    if (socket.getInputStream().read() < 0) {
+      throw new EOFException("connection closed without a response");
+    }
+  }
+
   /** Stays connected until the VM closes the connection or the crowd leaves. */
   void stay(boolean reads) throws IOException {
     if (!reads) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/SizedEndpoint.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/SizedEndpoint.java
@@ -9,12 +9,16 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 
-/** An endpoint whose responses are small, large or streams without end, depending on the path. */
+/**
+ * An endpoint whose responses are small, large, streams without end or missing, depending on the
+ * path.
+ */
 final class SizedEndpoint {
 
   static final String ID = "e1";
   static final String SMALL_PATH = "/safe/x";
   static final String LARGE_PATH = "/safe/large";
+  static final String SILENT_PATH = "/unsafe/silent";
   static final String ENDLESS_PATH = "/plainstream/endless";
 
   private static final int LARGE_RESPONSE_BYTES = 2_000_000;
@@ -49,6 +53,9 @@
         response.putHeader("Content-Type", "text/event-stream").setChunked(true);
         writeEvents(response, 1);
       }
+      case SILENT_PATH -> {
+        // The VM waits until the time-out of the route.
+      }
       default -> response.end("small");
     }
   }
