--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClientsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClientsTest.java
@@ -227,7 +227,6 @@
   }
 
   @Test
-  @KnownRed
   @DisplayName("more silent readiness checks than descriptors")
   void survivesMoreSilentReadinessChecksThanDescriptors() throws Exception {
     survives(AbusiveClient.SILENT_READINESS_CHECKS);
