Run no request again whose response may be behind surplus ones

Cause: on a connection that has carried a request before, an attempt ended as broken, and a repeatable request ran again, once surplus responses exceeded their limits or one of them had no length. The request's own response may stand behind or inside them. Found in a review, by reading.

Change: these attempts end as FAILED_INCOMPLETE, with 502. Only responses of other requests, and refusals without an id, are discarded. A connection that was opened by a probe counts as used only after its first request, so that a refusal without an id on it is the request's own.

Evidence: three tests of StutteringEndpointTest, which covered actions only, now cover repeatable requests and streams as well and require one run and 502. They pass, with JoinedResponsesTest, EndpointBytesTest, RepeatedRefusalTest, IncompleteFailureTest and GatewayTest; they were not run on the code before.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
@@ -16,6 +16,7 @@
   private boolean pathLost;
   private Runnable onClose = () -> {};
   private boolean closed;
+  private boolean carriesRequests;
   private boolean reused;
   private long reusableUntilMs;
 
@@ -59,6 +60,8 @@
    */
   void awaitResponse(
       String requestId, HttpMethod method, EndpointResponseDecoder.Listener listener) {
+    reused = carriesRequests;
+    carriesRequests = true;
     boolean isHead = method.equals(HttpMethod.HEAD);
     responses.awaitResponse(
         new EndpointResponseDecoder.Request(requestId, isHead, reused), listener);
@@ -101,14 +104,13 @@
     onClose.run();
   }
 
-  /** Returns whether the connection has carried a request before. */
+  /** Returns whether the connection has carried another request before the current one. */
   boolean isReused() {
     return reused;
   }
 
   /** Marks the connection as idle and reusable until the given time. */
   void markIdleUntil(long untilMs) {
-    reused = true;
     onClose = () -> {};
     reusableUntilMs = untilMs;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
@@ -281,8 +281,8 @@
   // Nothing follows a response that ends with its connection. A response without an id may be a
   // repeated refusal.
   private boolean isSurplus(ResponseHead head) {
-    boolean isOwn = head.requestId().map(request.id()::equals).orElse(false);
-    return !isOwn && !head.endsWithConnection();
+    boolean isOther = head.requestId().map(id -> !id.equals(request.id())).orElse(head.notRun());
+    return isOther && !head.endsWithConnection();
   }
 
   private boolean passesContent(HttpContent content) {
@@ -322,7 +322,9 @@
     skippedBytes += bytes;
     surplusBytes += bytes;
     if (surplusBytes > MAX_SURPLUS_BYTES) {
-      fail(AttemptFailure.BROKEN, "surplus responses exceed " + MAX_SURPLUS_BYTES + " bytes");
+      fail(
+          AttemptFailure.FAILED_INCOMPLETE,
+          "surplus responses exceed " + MAX_SURPLUS_BYTES + " bytes");
     } else if (content.decoderResult().isFailure()
         || ownId.find(content.content())
         || (isLast && hasOwnIdInTrailers((LastHttpContent) content))) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -259,7 +259,10 @@
         .ifPresent(
             load -> gateway.loads().recordReport(endpoint().id(), load, gateway.clock().millis()));
     if (belongsToOtherRequest()) {
-      fail(AttemptFailure.BROKEN, "response belongs to another request");
+      // The request's own response may follow, or may be inside this one.
+      fail(
+          connection.isReused() ? AttemptFailure.FAILED_INCOMPLETE : AttemptFailure.BROKEN,
+          "response belongs to another request");
       return;
     }
     if (!responseHead.isMisdirected()) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/StutteringEndpointTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/StutteringEndpointTest.java
@@ -256,9 +256,10 @@
     assertEquals(List.of("1 on new", "2 on used", "3 on new"), socketsOfRequests);
   }
 
-  @Test
-  @DisplayName("without end, an action is reported as possibly run and its connection closed")
-  void endlessSurplusResponseEndsAction() {
+  @ParameterizedTest
+  @ValueSource(strings = {"/safe/x", "/unsafe/x", "/stream/x"})
+  @DisplayName("without end, a request is reported as possibly run and its connection closed")
+  void endlessSurplusResponseEndsRequest(String path) {
     RawEndpoint endpoint =
         startEndpoint(
             call -> call.write(call.completeResponse(EARLIER_BODY)),
@@ -269,15 +270,16 @@
             });
     call("/safe/x", "1");
 
-    assertEquals(502, call("/unsafe/x", "2").status());
+    assertEquals(502, call(path, "2").status());
 
     assertSent(endpoint, "1", "2");
     Await.until("the connection is closed", () -> endpoint.openConnections() == 0);
   }
 
-  @Test
-  @DisplayName("again and again, an action is reported as possibly run and its connection closed")
-  void surplusResponsesWithoutEndEndAction() {
+  @ParameterizedTest
+  @ValueSource(strings = {"/safe/x", "/unsafe/x", "/stream/x"})
+  @DisplayName("again and again, a request is reported as possibly run and its connection closed")
+  void surplusResponsesWithoutEndEndRequest(String path) {
     RawEndpoint endpoint =
         startEndpoint(
             call -> call.write(call.completeResponse(EARLIER_BODY)),
@@ -286,15 +288,16 @@
                     call.completeResponse(EARLIER_BODY).replace("Id: " + call.id(), "Id: 1")));
     call("/safe/x", "1");
 
-    assertEquals(502, call("/unsafe/x", "2").status());
+    assertEquals(502, call(path, "2").status());
 
     assertSent(endpoint, "1", "2");
     Await.until("the connection is closed", () -> endpoint.openConnections() == 0);
   }
 
-  @Test
-  @DisplayName("without a length, an action is reported as possibly run")
-  void surplusResponseWithoutLengthEndsAction() {
+  @ParameterizedTest
+  @ValueSource(strings = {"/safe/x", "/unsafe/x", "/stream/x"})
+  @DisplayName("without a length, a request is reported as possibly run")
+  void surplusResponseWithoutLengthEndsRequest(String path) {
     RawEndpoint endpoint =
         startEndpoint(
             call -> call.write(call.completeResponse(EARLIER_BODY)),
@@ -305,7 +308,7 @@
             });
     call("/safe/x", "1");
 
-    assertEquals(502, call("/unsafe/x", "2").status());
+    assertEquals(502, call(path, "2").status());
 
     assertSent(endpoint, "1", "2");
   }
