Wait for endpoints that pause together

Cause: a silent endpoint counted as cut off as soon as one other endpoint of its data centre was unreachable, also if both had paused or the other had crashed. Its requests ran again elsewhere while it went on with them. Found in a review, by reading.

Change: a data centre counts as cut off once all its other endpoints that do not refuse connections are unreachable.

Evidence: PausedEndpointTest.requestsRunOnOneEndpointIfTwoPause failed on the code before ("expected: <[]> but was: <[8, 9, 11]>") and passes now, with PartitionedVmTest, SilentEndpointTest, GatewayTest and OutOfStepVmTest.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -112,20 +112,24 @@
 
   /**
    * Returns whether an unreachable endpoint may be sound and respond again soon: it does not refuse
-   * connections, and no other endpoint of its data centre is unreachable as in a partition.
+   * connections, and its data centre is not cut off, which makes all others there unreachable too.
    */
   boolean mayBePaused(EndpointEntry endpoint) {
     if (refusing.contains(endpoint.id())) {
       return false;
     }
+    boolean hasOthers = false;
     for (EndpointEntry each : routingState.endpoints().entries()) {
       if (each.dataCentre().equals(endpoint.dataCentre())
           && !each.id().equals(endpoint.id())
-          && loads.isUnreachable(each.id())) {
-        return false;
+          && !refusing.contains(each.id())) {
+        if (!loads.isUnreachable(each.id())) {
+          return true;
+        }
+        hasOthers = true;
       }
     }
-    return true;
+    return !hasOthers;
   }
 
   /**
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PausedEndpointTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PausedEndpointTest.java
@@ -109,4 +109,27 @@
     assertEquals(0, environment.countedCrashes());
     assertEquals(200, environment.call("GET", "/safe/x", Map.of()).status());
   }
+
+  @Test
+  @DisplayName("sends the request to no other endpoint if two of three pause together")
+  void requestsRunOnOneEndpointIfTwoPause() throws IOException {
+    endpoints =
+        new PausableEndpoints(
+            environment, 3, call -> call.writeLater(WORK_MS, call.completeResponse("body")));
+    List<Future<Response>> responses = new ArrayList<>();
+    for (int sent = 0; sent < REQUESTS_IN_PROGRESS; sent++) {
+      responses.add(environment.begin("GET", "/safe/x"));
+    }
+    Await.until(
+        "the endpoints run the requests",
+        () -> endpoints.requestIds().size() == REQUESTS_IN_PROGRESS);
+
+    endpoints.pause(0, Cut.SILENT, 1_000);
+    endpoints.pause(1, Cut.SILENT, 1_000);
+
+    for (Future<Response> each : responses) {
+      assertEquals(200, Await.result(each).status());
+    }
+    assertEquals(List.of(), endpoints.requestsOnSeveralEndpoints());
+  }
 }
