Give up no stream for a report that says nothing about it

Cause: each failure of an engine report but a time-out ended the stream that it was requested for, also one for want of a connection, or on a connection that the engine had reset because there were too many. A prompt report that did not know the stream ended it as well, although reports may be some hundred milliseconds old, so that a stream which was sent during a pause is missing from the first report after it. Found in a review, by reading.

Change: only a malformed report or a refused connection ends the stream at once. A report that contradicts it does so if the engine has responded on other connections for a second; otherwise a report half a second later has to agree.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -4,18 +4,18 @@
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EngineReport;
 import io.magnoliaroute.core.model.EndpointId;
+import io.magnoliaroute.platform.PlatformFormatException;
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
+import java.net.ConnectException;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeoutException;
 
 /**
  * Detects endpoints and connections from which no bytes arrive any more. An endpoint that is silent
@@ -45,6 +45,9 @@
    */
   private static final long MIN_RESPONDING_MS = 1_000;
 
+  /** Age that an engine's report may have when it arrives. */
+  private static final long MAX_REPORT_AGE_MS = 500;
+
   /** Longest time between two responses of an endpoint that has responded all the while. */
   private static final long MAX_RESPONSE_GAP_MS = 500;
 
@@ -75,7 +78,7 @@
   private final Set<EndpointId> probing = new LinkedHashSet<>();
   private final Set<EndpointId> checkingHealth = new LinkedHashSet<>();
   private final Set<RequestAttempt> awaitingReport = new LinkedHashSet<>();
-  private final Set<RequestAttempt> unconfirmedLost = new HashSet<>();
+  private final Map<RequestAttempt, Long> contradictedSinceMs = new HashMap<>();
   private Prober prober;
   private long lastCheckAtMs;
 
@@ -117,7 +120,7 @@
 
   void remove(RequestAttempt attempt) {
     openAttempts.remove(attempt);
-    unconfirmedLost.remove(attempt);
+    contradictedSinceMs.remove(attempt);
   }
 
   void recordReceipt(EndpointId endpoint, long nowMs) {
@@ -231,18 +234,29 @@
                   .map(each -> each.mayBeHealthy(attempt.requestId(), attempt.eventsReceived()))
                   .orElse(true)) {
                 attempt.confirmActive();
-                unconfirmedLost.remove(attempt);
-              } else if (clock.millis() - requestedAtMs < SILENCE_THRESHOLD_MS
-                  || !unconfirmedLost.add(attempt)) {
-                // After a pause, the report may arrive before the events that it counts.
+                contradictedSinceMs.remove(attempt);
+              } else if (isContradictionFinal(attempt, requestedAtMs)) {
                 failSilent(attempt, "request is unknown to the engine or its events were lost");
               }
             });
   }
 
-  // An engine that does not respond may be paused, so the stream waits for the next report.
+  // After a pause, a report may be older than the request, or arrive before the events that it
+  // counts.
+  private boolean isContradictionFinal(RequestAttempt attempt, long requestedAtMs) {
+    long nowMs = clock.millis();
+    long sinceMs = contradictedSinceMs.computeIfAbsent(attempt, first -> nowMs);
+    boolean isCurrent =
+        nowMs - requestedAtMs < SILENCE_THRESHOLD_MS && respondsOnOtherConnections(attempt, nowMs);
+    return isCurrent || nowMs - sinceMs >= MAX_REPORT_AGE_MS;
+  }
+
+  // Only a malformed report or a refused connection says something about the engine. One that does
+  // not respond may be paused, and a connection may be reset because there are too many.
   private void handleReportFailure(RequestAttempt attempt, Throwable cause) {
-    if (!(cause instanceof TimeoutException) && !(cause instanceof ConnectTimeoutException)) {
+    boolean refused =
+        cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    if (refused || cause instanceof PlatformFormatException) {
       failSilent(attempt, "engine report failed: " + cause.getMessage());
     }
   }
