Let stalled small requests give way when the memory is short

Cause: requests up to 32 KiB never gave way, but reserve the length that they announce. About a thousand connections that announce 32 KiB and send nothing more fill the memory for requests, and ordinary requests with a body get 503 until the idle time-out. Found in a review, by arithmetic.

Change: while the memory is short, any incomplete message that stalls gives way, the largest first; large ones that make progress give way to small ones as before.

Evidence: ReceiveMemoryLimiterTest.evictsStalledSmallMessage, written with the change, and the other tests of the class pass.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/ReceiveMemoryLimiter.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/ReceiveMemoryLimiter.java
@@ -11,9 +11,9 @@
  * Limits the memory that messages of all senders take together while they are received and until
  * they are processed.
  *
- * <p>While the memory is short, large messages that stall give way to messages that arrive, and all
- * large messages that are not complete give way to small ones. A single large message of any size
- * is accepted beside small ones that keep to their share. Not thread-safe.
+ * <p>While the memory is short, messages that stall give way to messages that arrive, the largest
+ * first, and all large messages that are not complete give way to small ones. A single large
+ * message of any size is accepted beside small ones that keep to their share. Not thread-safe.
  */
 public final class ReceiveMemoryLimiter {
 
@@ -28,7 +28,7 @@
   private final long maxTotalBytes;
   private final long maxLargeBytes;
   private final InstantSource clock;
-  private final Set<Message> large = new LinkedHashSet<>();
+  private final Set<Message> incomplete = new LinkedHashSet<>();
   private long totalBytes;
   private long largeBytes;
 
@@ -104,6 +104,7 @@
     /** Keeps the message from being evicted, because it is being processed. */
     public void markComplete() {
       complete = true;
+      incomplete.remove(this);
     }
 
     /** Releases the memory; has no effect if that has happened. */
@@ -116,10 +117,10 @@
       totalBytes += newBytes - bytes;
       largeBytes += largeShare(newBytes) - largeShare(bytes);
       bytes = newBytes;
-      if (isLarge(newBytes)) {
-        large.add(this);
+      if (newBytes > 0 && !complete) {
+        incomplete.add(this);
       } else {
-        large.remove(this);
+        incomplete.remove(this);
       }
     }
 
@@ -131,7 +132,7 @@
   private boolean makeRoom(Message message, long newBytes) {
     evictUntilFits(message, newBytes, Message::isStalled);
     if (!isLarge(newBytes)) {
-      evictUntilFits(message, newBytes, any -> true);
+      evictUntilFits(message, newBytes, each -> isLarge(each.bytes));
     }
     return fits(message, newBytes);
   }
@@ -139,8 +140,8 @@
   private void evictUntilFits(Message message, long newBytes, Predicate<Message> candidates) {
     while (!fits(message, newBytes)) {
       Optional<Message> largest =
-          large.stream()
-              .filter(each -> each != message && !each.complete)
+          incomplete.stream()
+              .filter(each -> each != message)
               .filter(candidates)
               .max(Comparator.comparingLong(each -> each.bytes));
       if (largest.isEmpty()) {
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/ReceiveMemoryLimiterTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/ReceiveMemoryLimiterTest.java
@@ -89,6 +89,18 @@
     assertEquals(List.of("large"), evicted);
   }
 
+  @Test
+  @DisplayName("evicts small messages that stall for one that arrives")
+  void evictsStalledSmallMessage() {
+    for (int number = 0; number < 40; number++) {
+      accepted("stalled " + number, 25 * KB);
+    }
+    assertFalse(begin("too early").tryResize(10 * KB));
+    nowMs += ReceiveMemoryLimiter.STALL_MS;
+    accepted("new", 10 * KB);
+    assertEquals(List.of("stalled 0"), evicted);
+  }
+
   @Test
   @DisplayName("accepts a single message of any size")
   void acceptsSingleMessage() {
