Let connections with incomplete requests give way to new ones

Cause: a connection counts as idle until the head of a request has arrived. With all connections of clients held by requests whose bodies do not end, new clients were refused until the idle time-out. Found in a review, by reading.

Change: if no connection is idle, the one whose request has been incomplete for longest, and for a second at least, is closed for a new one. Its client learns that the request has not been read.

Evidence: AbusiveClientsTest.survivesMoreSmallBodiesThanDescriptors is new. It held on the code before as well, because the idle time-out frees connections within its limit; it does not show the fault.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientConnections.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientConnections.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,10 +13,14 @@
 
 /**
  * The open connections of clients. Beyond the limit, the connection that is idle for longest is
- * closed; a request counts from the end of its head. Confined to one event loop.
+ * closed; if none is idle, the one that has been sending an incomplete request for longest. A
+ * request counts from the end of its head. Confined to one event loop.
  */
 final class ClientConnections {
 
+  /** Time for which a request may be incomplete before its connection gives way to a new one. */
+  static final long MIN_SENDING_MS = 1_000;
+
   private final int maxOpen;
   private final InstantSource clock;
   private final GatewayMetrics metrics;
@@ -24,6 +29,9 @@
   /** The connections without a request in progress, the one that is idle for longest first. */
   private final Set<HttpConnection> idle = new LinkedHashSet<>();
 
+  /** When the requests began whose bodies are incomplete, by connection, the earliest first. */
+  private final Map<HttpConnection, Long> sendingSinceMs = new LinkedHashMap<>();
+
   /** The state of one connection. */
   static final class State {
     private int activeRequests;
@@ -55,9 +63,9 @@
     this.metrics = metrics;
   }
 
-  /** Adds a new connection; returns false if it exceeds the limit and no other one is idle. */
+  /** Adds a new connection; returns false if it exceeds the limit and no other one gives way. */
   boolean add(HttpConnection connection) {
-    if (states.size() >= maxOpen && !closeLongestIdle()) {
+    if (states.size() >= maxOpen && !closeLongestIdle() && !closeLongestSending()) {
       metrics.count("client_connections_refused");
       return false;
     }
@@ -76,10 +84,17 @@
     state.used = true;
     state.activeRequests++;
     idle.remove(connection);
+    sendingSinceMs.put(connection, clock.millis());
+  }
+
+  /** Records that a request has arrived completely. */
+  void completeRequest(HttpConnection connection) {
+    sendingSinceMs.remove(connection);
   }
 
   void endRequest(HttpConnection connection, State state) {
     state.activeRequests--;
+    sendingSinceMs.remove(connection);
     state.idleSinceMs = clock.millis();
     if (state.activeRequests == 0 && states.containsKey(connection)) {
       idle.add(connection);
@@ -117,15 +132,32 @@
     if (!candidates.hasNext()) {
       return false;
     }
-    HttpConnection longestIdle = candidates.next();
-    metrics.count("client_connections_evicted");
-    remove(longestIdle);
-    longestIdle.close();
+    evict(candidates.next());
     return true;
   }
 
+  private boolean closeLongestSending() {
+    for (Map.Entry<HttpConnection, Long> each : sendingSinceMs.entrySet()) {
+      if (clock.millis() - each.getValue() < MIN_SENDING_MS) {
+        return false;
+      }
+      if (states.get(each.getKey()).activeRequests == 1) {
+        evict(each.getKey());
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void evict(HttpConnection connection) {
+    metrics.count("client_connections_evicted");
+    remove(connection);
+    connection.close();
+  }
+
   private void remove(HttpConnection connection) {
     states.remove(connection);
     idle.remove(connection);
+    sendingSinceMs.remove(connection);
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
@@ -293,6 +293,7 @@
     }
 
     private void handleCompleteBody() {
+      connections.completeRequest(request.connection());
       if (finished) {
         return;
       }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClient.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClient.java
@@ -69,6 +69,17 @@
     @Override
     void send(CrowdConnection connection) {}
   },
+  SMALL_BODIES_WITH_LENGTH {
+    @Override
+    int connectionsPerClient() {
+      return 16;
+    }
+
+    @Override
+    void send(CrowdConnection connection) throws IOException {
+      connection.write(post("Content-Length: 32768") + "a");
+    }
+  },
   UNREAD_RESPONSES {
     @Override
     boolean reads() {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClientsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClientsTest.java
@@ -146,6 +146,12 @@
     survives(AbusiveClient.SILENT_CONNECTIONS);
   }
 
+  @Test
+  @DisplayName("more small bodies that stop short of their length than descriptors")
+  void survivesMoreSmallBodiesThanDescriptors() throws Exception {
+    survives(AbusiveClient.SMALL_BODIES_WITH_LENGTH);
+  }
+
   @Test
   @DisplayName("large responses that are not read")
   void survivesUnreadResponses() throws Exception {
