--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClient.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/AbusiveClient.java
@@ -69,17 +69,6 @@
     @Override
     void send(CrowdConnection connection) {}
   },
-  SMALL_BODIES_WITH_LENGTH {
-    @Override
-    int connectionsPerClient() {
-      return 16;
-    }
-
-    @Override
-    void send(CrowdConnection connection) throws IOException {
-      connection.write(post("Content-Length: 32768") + "a");
-    }
-  },
   UNREAD_RESPONSES {
     @Override
     boolean reads() {
@@ -175,6 +164,17 @@
       connection.writeRepeatedly("400\r\n" + "a".repeat(1_024) + "\r\n", ENDLESS_KB);
     }
   },
+  SMALL_BODIES_WITH_LENGTH {
+    @Override
+    int connectionsPerClient() {
+      return 16;
+    }
+
+    @Override
+    void send(CrowdConnection connection) throws IOException {
+      connection.write(post("Content-Length: 32768") + "a");
+    }
+  },
   RESPONSES_READ_IN_PART {
     @Override
     int connectionsPerClient() {
