Tell in log and metrics why a request goes on at another endpoint

Change: send_failed has path and evidence; the line request_moved and the counter requests_moved{evidence} name each move and what was known of the earlier endpoints. LossAssessor holds what failed connections show and keeps the decisions as they were; evidence() is only logged.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
@@ -2,6 +2,8 @@
 
 import io.magnoliaroute.core.model.EndpointId;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -31,6 +33,7 @@
   private final Set<EndpointId> ranOn = new HashSet<>();
   private final Set<EndpointId> avoided = new HashSet<>();
   private final Set<EndpointId> refusedBy = new HashSet<>();
+  private final Map<EndpointId, LossEvidence> earlierRuns = new LinkedHashMap<>();
   private boolean mayHaveRun;
   private int attempts;
   private int consecutiveBrokenAttempts;
@@ -65,6 +68,21 @@
     return ranOn.contains(endpoint);
   }
 
+  /**
+   * Returns the other endpoints that may have started to run the request, in the order of their
+   * attempts, and what was known of each when its last attempt failed.
+   */
+  public Map<EndpointId, LossEvidence> earlierRunsBeside(EndpointId endpoint) {
+    Map<EndpointId, LossEvidence> others = new LinkedHashMap<>(earlierRuns);
+    others.remove(endpoint);
+    return others;
+  }
+
+  /** Returns the maximum number of endpoints that may run the request. */
+  public int maxEndpoints() {
+    return route.maxEndpoints();
+  }
+
   /** Returns whether the endpoint has refused the request because it was full. */
   public boolean wasRefusedBy(EndpointId endpoint) {
     return refusedBy.contains(endpoint);
@@ -87,14 +105,22 @@
   public void recordRepeat() {
     mayHaveRun = true;
     ranOn.add(lastEndpoint);
+    earlierRuns.put(lastEndpoint, LossEvidence.NONE);
   }
 
-  /** Records the failure of the last attempt and returns how to proceed. */
-  public RetryAction recordFailure(AttemptFailure failure) {
+  /**
+   * Records the failure of the last attempt and returns how to proceed.
+   *
+   * @param evidence what is known of the endpoint
+   */
+  public RetryAction recordFailure(AttemptFailure failure, LossEvidence evidence) {
     mayHaveRun |= failure.mayHaveRun();
     if (failure.mayHaveRun()) {
       ranOn.add(lastEndpoint);
     }
+    if (ranOn.contains(lastEndpoint)) {
+      earlierRuns.put(lastEndpoint, evidence);
+    }
     if (failure == AttemptFailure.REFUSED_FULL) {
       refusedBy.add(lastEndpoint);
     }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
@@ -46,7 +46,9 @@
     void unknownOutcome() {
       history.beginAttempt(FIRST);
 
-      assertEquals(RetryAction.ANSWER_UNKNOWN, history.recordFailure(AttemptFailure.BROKEN));
+      assertEquals(
+          RetryAction.ANSWER_UNKNOWN,
+          history.recordFailure(AttemptFailure.BROKEN, LossEvidence.NONE));
       assertTrue(history.mayHaveRun());
     }
 
@@ -55,7 +57,9 @@
     void refused() {
       history.beginAttempt(FIRST);
 
-      assertEquals(RetryAction.OTHER_ENDPOINT, history.recordFailure(AttemptFailure.REFUSED_FULL));
+      assertEquals(
+          RetryAction.OTHER_ENDPOINT,
+          history.recordFailure(AttemptFailure.REFUSED_FULL, LossEvidence.NONE));
       assertEquals(Set.of(FIRST), history.avoidedEndpoints());
     }
 
@@ -65,7 +69,7 @@
       RetryAction action = RetryAction.OTHER_ENDPOINT;
       for (int i = 0; i < AttemptHistory.MAX_ATTEMPTS; i++) {
         history.beginAttempt(i % 2 == 0 ? FIRST : SECOND);
-        action = history.recordFailure(AttemptFailure.NOT_CONNECTED);
+        action = history.recordFailure(AttemptFailure.NOT_CONNECTED, LossEvidence.NONE);
       }
 
       assertEquals(RetryAction.ANSWER_NOT_RUN, action);
@@ -82,7 +86,9 @@
       AttemptHistory history = history(RouteKind.STREAM, false, 3);
       history.beginAttempt(FIRST);
 
-      assertEquals(RetryAction.ANSWER_UNKNOWN, history.recordFailure(AttemptFailure.BROKEN));
+      assertEquals(
+          RetryAction.ANSWER_UNKNOWN,
+          history.recordFailure(AttemptFailure.BROKEN, LossEvidence.NONE));
     }
   }
 
@@ -97,17 +103,21 @@
     void sameEndpoint() {
       history.beginAttempt(FIRST);
 
-      assertEquals(RetryAction.SAME_ENDPOINT, history.recordFailure(AttemptFailure.BROKEN));
+      assertEquals(
+          RetryAction.SAME_ENDPOINT,
+          history.recordFailure(AttemptFailure.BROKEN, LossEvidence.NONE));
     }
 
     @Test
     @DisplayName("continue on another endpoint after the first one has become unreachable")
     void unreachableEndpoint() {
       history.beginAttempt(FIRST);
-      history.recordFailure(AttemptFailure.BROKEN);
+      history.recordFailure(AttemptFailure.BROKEN, LossEvidence.NONE);
       history.beginAttempt(FIRST);
 
-      assertEquals(RetryAction.OTHER_ENDPOINT, history.recordFailure(AttemptFailure.NOT_CONNECTED));
+      assertEquals(
+          RetryAction.OTHER_ENDPOINT,
+          history.recordFailure(AttemptFailure.NOT_CONNECTED, LossEvidence.NONE));
     }
 
     @Test
@@ -116,17 +126,20 @@
       history.beginAttempt(FIRST);
 
       assertEquals(
-          RetryAction.ANSWER_UNKNOWN, history.recordFailure(AttemptFailure.FAILED_INCOMPLETE));
+          RetryAction.ANSWER_UNKNOWN,
+          history.recordFailure(AttemptFailure.FAILED_INCOMPLETE, LossEvidence.NONE));
     }
 
     @Test
     @DisplayName("do not continue on another endpoint while the first one is reachable")
     void noSecondEndpoint() {
       history.beginAttempt(FIRST);
-      history.recordFailure(AttemptFailure.BROKEN);
+      history.recordFailure(AttemptFailure.BROKEN, LossEvidence.NONE);
       history.beginAttempt(FIRST);
 
-      assertEquals(RetryAction.ANSWER_UNKNOWN, history.recordFailure(AttemptFailure.BROKEN));
+      assertEquals(
+          RetryAction.ANSWER_UNKNOWN,
+          history.recordFailure(AttemptFailure.BROKEN, LossEvidence.NONE));
     }
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -46,6 +46,7 @@
   private final InstantSource clock;
   private final Map<EndpointId, Pool> pools = new HashMap<>();
   private final IntUnaryOperator connectionShare;
+  private final Map<EndpointId, Long> lastContactMs = new HashMap<>();
   private long openedCount;
 
   private static final class Pool {
@@ -147,6 +148,7 @@
                   new EndpointConnection(endpoint, relay, connection, responses);
               responses.onUnexpectedBytes(() -> closeIfIdle(pooled));
               pool.open.add(pooled);
+              recordContact(pooled);
               connection.exceptionHandler(e -> close(pooled));
               connection.closeHandler(
                   closed -> {
@@ -205,6 +207,21 @@
     return pool != null && !pool.open.isEmpty();
   }
 
+  /**
+   * Records that the endpoint has accepted the connection or sent bytes on it, which shows that the
+   * direct path works, unless the connection leads through another VM.
+   */
+  void recordContact(EndpointConnection connection) {
+    if (connection.relay().isEmpty()) {
+      lastContactMs.put(connection.endpoint().id(), clock.millis());
+    }
+  }
+
+  /** Returns when the endpoint last accepted a direct connection or sent bytes on one. */
+  long lastContactMs(EndpointId endpoint) {
+    return lastContactMs.getOrDefault(endpoint, Long.MIN_VALUE / 2);
+  }
+
   /** Closes the idle connections on a lost path and marks the ones that carry requests. */
   void markPathLost(EndpointId endpoint, Optional<VmEntry> relay) {
     for (EndpointConnection each : openOn(endpoint, relay)) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -4,6 +4,7 @@
 import io.magnoliaroute.core.gateway.AttemptHistory;
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EndpointSelector;
+import io.magnoliaroute.core.gateway.LossEvidence;
 import io.magnoliaroute.core.gateway.RetryAction;
 import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.model.Hashing;
@@ -29,12 +30,6 @@
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
 
-  /**
-   * Divisor of the time until a request's deadline: the request is refused if no endpoint has
-   * become available within this fraction of it.
-   */
-  private static final int ENDPOINT_WAIT_DIVISOR = 3;
-
   /** Delay before another attempt to place a request for which no endpoint was available. */
   private static final long PLACEMENT_RETRY_MS = 20;
 
@@ -66,6 +61,7 @@
   private final PauseTolerance pauseTolerance;
   private final StreamBinding stream;
   private final Placement placement;
+  private final EndpointWait wait;
   private final EndpointConnector connector;
   private final ExchangeLog log;
   private final String service;
@@ -90,6 +86,7 @@
     this.reservation = new TurnReservation(gateway.budgets(), request.metadata());
     String key = request.metadata().programId().orElse(request.metadata().requestId());
     this.service = request.route().serviceFor(Hashing.fnv1a64(key) >>> 1);
+    this.wait = new EndpointWait(request, gateway.clock());
     this.connector = new EndpointConnector(gateway);
     this.log = new ExchangeLog(gateway, request.metadata());
     this.stream = new StreamBinding(gateway, request.metadata(), service);
@@ -320,8 +317,9 @@
     if (attempts.abandonRepeat()) {
       return;
     }
-    RetryAction action = history.recordFailure(failure);
-    log.logFailed(endpoint, failure, cause, history.attempts(), action);
+    LossEvidence evidence = gateway.reachability().evidence(endpoint, failure);
+    RetryAction action = history.recordFailure(failure, evidence);
+    log.logFailed(endpoint, failure, evidence, cause, history.attempts(), action);
     if (finished) {
       return;
     }
@@ -369,7 +367,7 @@
       return;
     }
     history.avoidedEndpoints().clear();
-    if (remainingWaitMs() <= 0 || !stream.hasEndpoint()) {
+    if (wait.remainingMs() <= 0 || !stream.hasEndpoint()) {
       refuseWithoutEndpoint(RETRY_AFTER_MS);
       return;
     }
@@ -380,26 +378,14 @@
     EndpointEntry endpoint = selection.endpoint();
     if (gateway.loads().isUnreachable(endpoint.id())) {
       dispatchIfReachable();
-    } else if (selection.permitDelayMs() > maxPermitDelayMs()) {
+    } else if (selection.permitDelayMs() > wait.maxPermitDelayMs()) {
       refuseWithoutEndpoint(Math.max(RETRY_AFTER_MS, selection.permitDelayMs()));
     } else {
-      long maxDelayMs = Math.min(selection.maxPermitDelayMs(), maxPermitDelayMs());
+      long maxDelayMs = Math.min(selection.maxPermitDelayMs(), wait.maxPermitDelayMs());
       connectWithPermit(endpoint, false, maxDelayMs);
     }
   }
 
-  private long remainingWaitMs() {
-    long maxWaitMs = (deadlineMs - request.arrivedMs()) / ENDPOINT_WAIT_DIVISOR;
-    return maxWaitMs - (now() - request.arrivedMs());
-  }
-
-  // While permits are short, requests of a lower priority are refused at half of the delay that
-  // requests of the highest priority accept, so the latter still find permits.
-  private long maxPermitDelayMs() {
-    long remainingMs = Math.max(0, remainingWaitMs());
-    return request.route().rank() == 0 ? remainingMs : remainingMs / 2;
-  }
-
   private void connectWithPermit(EndpointEntry endpoint, boolean newConnection, long maxDelayMs) {
     gateway
         .requestPermits()
@@ -466,7 +452,7 @@
       return;
     }
     if (isEligible(endpoint)) {
-      connectWithPermit(endpoint, true, maxPermitDelayMs());
+      connectWithPermit(endpoint, true, wait.maxPermitDelayMs());
     } else {
       proceedAfterFailure(endpoint, AttemptFailure.LEAVING, "endpoint has left the service");
     }
@@ -527,6 +513,7 @@
     RequestHeaderCodec.encode(
         request.headers(), headers, connection.endpoint(), leftMs, eventSplitter.lastId());
     log.logSent(connection, history.attempts(), leftMs, eventSplitter.lastId());
+    log.recordMove(connection.endpoint(), history);
     RequestAttempt attempt =
         new RequestAttempt(gateway, connection, this, request.metadata().requestId());
     attempts.add(attempt);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeLog.java
@@ -1,10 +1,15 @@
 package io.magnoliaroute.daemon.gateway;
 
 import io.magnoliaroute.core.gateway.AttemptFailure;
+import io.magnoliaroute.core.gateway.AttemptHistory;
 import io.magnoliaroute.core.gateway.EndpointEntry;
+import io.magnoliaroute.core.gateway.LossEvidence;
 import io.magnoliaroute.core.gateway.RequestMetadata;
 import io.magnoliaroute.core.gateway.RetryAction;
+import io.magnoliaroute.core.gateway.VmEntry;
+import io.magnoliaroute.core.model.EndpointId;
 import io.magnoliaroute.platform.ResponseHead;
+import java.util.Map;
 import java.util.Optional;
 
 /** Writes the decision log's lines about the attempts of one request. */
@@ -25,7 +30,7 @@
     long nowMs = gateway.clock().millis();
     line("request_sent")
         .put("endpoint", endpoint.id().value())
-        .put("path", connection.relay().map(relay -> relay.vm().value()).orElse("direct"))
+        .put("path", path(connection.relay()))
         .put("service", endpoint.service())
         .put("software_version", endpoint.softwareVersion())
         .put("busy", (long) gateway.loads().estimatedRequests(endpoint.id(), nowMs))
@@ -45,7 +50,7 @@
     EndpointConnection connection = attempt.connection();
     line("response_lost")
         .put("endpoint", attempt.endpoint().id().value())
-        .put("path", connection.relay().map(relay -> relay.vm().value()).orElse("direct"))
+        .put("path", path(connection.relay()))
         .put("reused", connection.isReused())
         .put("waited_ms", nowMs - attempt.sentAtMs())
         .put("silent_ms", nowMs - attempt.lastReceivedAtMs())
@@ -68,18 +73,41 @@
   void logFailed(
       EndpointEntry endpoint,
       AttemptFailure failure,
+      LossEvidence evidence,
       String cause,
       int attempts,
       RetryAction action) {
     line("send_failed")
         .put("endpoint", endpoint.id().value())
+        .put("path", path(gateway.paths().relay(endpoint.id())))
         .put("result", failure.name())
+        .put("evidence", evidence.name())
         .put("cause", cause)
         .put("sends", attempts)
         .put("next", action.name())
         .write();
   }
 
+  /** Logs and counts a request that goes on at another endpoint than those that may run it. */
+  void recordMove(EndpointEntry endpoint, AttemptHistory history) {
+    Map<EndpointId, LossEvidence> earlier = history.earlierRunsBeside(endpoint.id());
+    if (earlier.isEmpty()) {
+      return;
+    }
+    for (LossEvidence evidence : earlier.values()) {
+      gateway.metrics().countMoved(evidence.name());
+    }
+    line("request_moved")
+        .put("endpoint", endpoint.id().value())
+        .put("earlier", earlier.toString())
+        .put("limit", history.maxEndpoints())
+        .write();
+  }
+
+  private static String path(Optional<VmEntry> relay) {
+    return relay.map(vm -> vm.vm().value()).orElse("direct");
+  }
+
   /** Logs that the endpoint's request limit leaves no permit for the request. */
   void logPermitDenied(EndpointEntry endpoint, long nextMs, long acceptedMs) {
     line("permit_denied")
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
@@ -19,6 +19,11 @@
     metrics.increment("sends_failed", "result", result);
   }
 
+  /** Counts a request that goes on at another endpoint than one that may have run it. */
+  void countMoved(String evidence) {
+    metrics.increment("requests_moved", "evidence", evidence);
+  }
+
   void countPermit(boolean granted) {
     metrics.increment("request_permits", "result", granted ? "granted" : "denied");
   }
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/LossAssessor.java
@@ -0,0 +1,133 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.gateway.EndpointEntry;
+import io.magnoliaroute.core.gateway.EndpointLoadTracker;
+import io.magnoliaroute.core.gateway.EndpointPaths;
+import io.magnoliaroute.core.gateway.LossEvidence;
+import io.magnoliaroute.core.model.EndpointId;
+import io.netty.channel.ConnectTimeoutException;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Assesses what failed connections show of an endpoint: whether its process has ended, or whether
+ * it may be sound. Confined to one event loop.
+ */
+final class LossAssessor {
+
+  /** Age of a contact with another endpoint that shows that this VM's own network works. */
+  private static final long MAX_CONTACT_AGE_MS = 500;
+
+  private final RoutingState routingState;
+  private final EndpointLoadTracker loads;
+  private final EndpointPaths paths;
+  private final EndpointConnectionPool connections;
+  private final InstantSource clock;
+  private final Set<EndpointId> refusing = new HashSet<>();
+  private final Set<EndpointId> timedOut = new HashSet<>();
+
+  LossAssessor(
+      RoutingState routingState,
+      EndpointLoadTracker loads,
+      EndpointPaths paths,
+      EndpointConnectionPool connections,
+      InstantSource clock) {
+    this.routingState = routingState;
+    this.loads = loads;
+    this.paths = paths;
+    this.connections = connections;
+    this.clock = clock;
+  }
+
+  /** Records why no direct connection was established. */
+  void recordDirectFailure(EndpointId endpoint, Throwable cause) {
+    (cause instanceof ConnectTimeoutException ? timedOut : refusing).add(endpoint);
+  }
+
+  /** Discards the failures of an endpoint that is reachable again. */
+  void clear(EndpointId endpoint) {
+    refusing.remove(endpoint);
+    timedOut.remove(endpoint);
+  }
+
+  /** Removes the state of endpoints that are no longer listed. */
+  void retain(Collection<EndpointId> listed) {
+    refusing.retainAll(listed);
+    timedOut.retainAll(listed);
+  }
+
+  /** Returns what is known of the endpoint. */
+  LossEvidence evidence(EndpointEntry endpoint) {
+    EndpointId id = endpoint.id();
+    if (refusing.contains(id)) {
+      if (connections.isConnected(id)) {
+        return LossEvidence.REFUSES_FURTHER;
+      }
+      return hasContact(each -> !each.id().equals(id))
+          ? LossEvidence.PROCESS_ENDED
+          : LossEvidence.REFUSED_WITHOUT_CONTACT;
+    }
+    if (loads.isUnreachable(id) && isDataCentreCutOff(endpoint)) {
+      return LossEvidence.DATA_CENTRE_CUT_OFF;
+    }
+    if (timedOut.contains(id)) {
+      return LossEvidence.SILENT;
+    }
+    return paths.isDirect(id) ? LossEvidence.NONE : LossEvidence.PATH_FAILED;
+  }
+
+  // Endpoints that refuse connections have ended, and say nothing about the network.
+  private boolean isDataCentreCutOff(EndpointEntry endpoint) {
+    boolean hasOthers = false;
+    for (EndpointEntry each : routingState.endpoints().entries()) {
+      if (each.dataCentre().equals(endpoint.dataCentre())
+          && !each.id().equals(endpoint.id())
+          && !refusing.contains(each.id())) {
+        if (!loads.isUnreachable(each.id())) {
+          return false;
+        }
+        hasOthers = true;
+      }
+    }
+    return hasOthers && hasContact(each -> !each.dataCentre().equals(endpoint.dataCentre()));
+  }
+
+  private boolean hasContact(Predicate<EndpointEntry> eligible) {
+    long sinceMs = clock.millis() - MAX_CONTACT_AGE_MS;
+    return routingState.endpoints().entries().stream()
+        .anyMatch(each -> eligible.test(each) && connections.lastContactMs(each.id()) >= sinceMs);
+  }
+
+  /**
+   * Returns whether an unreachable endpoint may be sound and respond again soon: it does not refuse
+   * connections, and its data centre is not cut off, which makes all others there unreachable too.
+   */
+  boolean mayBePaused(EndpointEntry endpoint) {
+    if (refusing.contains(endpoint.id())) {
+      return false;
+    }
+    boolean hasOthers = false;
+    for (EndpointEntry each : routingState.endpoints().entries()) {
+      if (each.dataCentre().equals(endpoint.dataCentre())
+          && !each.id().equals(endpoint.id())
+          && !refusing.contains(each.id())) {
+        if (!loads.isUnreachable(each.id())) {
+          return true;
+        }
+        hasOthers = true;
+      }
+    }
+    return !hasOthers;
+  }
+
+  /**
+   * Returns whether the process of an unreachable endpoint may have ended. The operating system
+   * refuses connections to a process that has crashed, so they do not time out.
+   */
+  boolean mayHaveCrashed(EndpointId endpoint) {
+    return refusing.contains(endpoint) || !timedOut.contains(endpoint);
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -1,12 +1,13 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.magnoliaroute.core.gateway.AttemptFailure;
 import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EndpointLoadTracker;
 import io.magnoliaroute.core.gateway.EndpointPaths;
+import io.magnoliaroute.core.gateway.LossEvidence;
 import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.core.model.EndpointId;
-import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.InstantSource;
@@ -51,8 +52,7 @@
   private final Map<EndpointId, Long> lastProbeMs = new HashMap<>();
   private final Map<EndpointId, Long> lastFailureMs = new HashMap<>();
   private final Set<EndpointId> runningDirectProbes = new HashSet<>();
-  private final Set<EndpointId> refusing = new HashSet<>();
-  private final Set<EndpointId> timedOut = new HashSet<>();
+  private final LossAssessor losses;
   private Consumer<EndpointId> listener = endpoint -> {};
 
   /**
@@ -75,6 +75,7 @@
     this.relays = relays;
     this.clock = clock;
     this.log = log;
+    this.losses = new LossAssessor(routingState, loads, paths, connections, clock);
   }
 
   /** Sets the listener that notifies the other VMs of an unreachable endpoint. */
@@ -110,34 +111,23 @@
     return loads.isUnreachable(endpoint.id());
   }
 
-  /**
-   * Returns whether an unreachable endpoint may be sound and respond again soon: it does not refuse
-   * connections, and its data centre is not cut off, which makes all others there unreachable too.
-   */
+  /** Returns what this VM knows of an endpoint after an attempt there has failed. */
+  LossEvidence evidence(EndpointEntry endpoint, AttemptFailure failure) {
+    return switch (failure) {
+      case NOT_CONNECTED, UNREACHABLE -> losses.evidence(endpoint);
+      case REFUSED_GONE -> LossEvidence.REPLACED;
+      default -> LossEvidence.NONE;
+    };
+  }
+
+  /** Returns whether an unreachable endpoint may be sound and respond again soon. */
   boolean mayBePaused(EndpointEntry endpoint) {
-    if (refusing.contains(endpoint.id())) {
-      return false;
-    }
-    boolean hasOthers = false;
-    for (EndpointEntry each : routingState.endpoints().entries()) {
-      if (each.dataCentre().equals(endpoint.dataCentre())
-          && !each.id().equals(endpoint.id())
-          && !refusing.contains(each.id())) {
-        if (!loads.isUnreachable(each.id())) {
-          return true;
-        }
-        hasOthers = true;
-      }
-    }
-    return !hasOthers;
+    return losses.mayBePaused(endpoint);
   }
 
-  /**
-   * Returns whether the process of an unreachable endpoint may have ended. The operating system
-   * refuses connections to a process that has crashed, so they do not time out.
-   */
+  /** Returns whether the process of an unreachable endpoint may have ended. */
   boolean mayHaveCrashed(EndpointEntry endpoint) {
-    return refusing.contains(endpoint.id()) || !timedOut.contains(endpoint.id());
+    return losses.mayHaveCrashed(endpoint.id());
   }
 
   private boolean isCurrent(EndpointEntry endpoint, Optional<VmEntry> relay) {
@@ -148,7 +138,7 @@
       EndpointEntry endpoint, Optional<VmEntry> lostRelay, Throwable cause) {
     long nowMs = clock.millis();
     if (lostRelay.isEmpty()) {
-      (cause instanceof ConnectTimeoutException ? timedOut : refusing).add(endpoint.id());
+      losses.recordDirectFailure(endpoint.id(), cause);
     }
     boolean wasDirect = lostRelay.isEmpty() && paths.markDirectLost(endpoint.id(), nowMs);
     lostRelay.ifPresent(relay -> paths.markRelayFailed(relay.vm(), endpoint.id(), nowMs));
@@ -251,8 +241,7 @@
     List<EndpointId> listed =
         routingState.endpoints().entries().stream().map(EndpointEntry::id).toList();
     paths.retain(listed, clock.millis());
-    refusing.retainAll(listed);
-    timedOut.retainAll(listed);
+    losses.retain(listed);
   }
 
   private void probeDirectPath(EndpointEntry endpoint) {
@@ -365,8 +354,7 @@
       log.line("endpoint_regained").put("endpoint", endpoint.id().value()).write();
     }
     loads.markReachable(endpoint.id());
-    refusing.remove(endpoint.id());
-    timedOut.remove(endpoint.id());
+    losses.clear(endpoint.id());
   }
 
   private void probeUnlessRecent(EndpointEntry endpoint) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -358,6 +358,7 @@
   private void recordReceipt() {
     lastReceivedAtMs = gateway.clock().millis();
     gateway.watchdog().recordReceipt(endpoint().id(), lastReceivedAtMs);
+    gateway.connections().recordContact(connection);
   }
 
   private void finish() {
