Move a request that may have run only if its endpoint has ended

Callers saw: requests of routes that allow one endpoint ran on two.

Cause: an endpoint counted as gone on what one VM sees on one path: it is silent for 1.5 s, refuses a further connection, or the VM that relays to it has died. UNREACHABLE and NOT_CONNECTED removed it from the endpoints that run the request, so the request went on elsewhere beside the first run. The class: the loss of a path or of contact is taken for the end of the process.

Change: an endpoint no longer counts only on proof: its process refuses connections, has none open, and this VM has contact with others (the operating system closes the connections of a process that ends); no endpoint of its data centre is reachable while others are; or another endpoint responds at its address. A search for another path has to end first. Without proof a request that may have run waits up to 1.5 s for its endpoint, then gets 502 if its route allows no further endpoint, so that the client decides. Only refused connections of an endpoint without open ones count as a crash.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/AttemptHistory.java
@@ -10,10 +10,11 @@
  * Tracks the attempts of one request and decides how to proceed after a failed one.
  *
  * <p>A request that may have run is retried only if its route allows it, and it runs on no more
- * reachable endpoints than the route allows. None is retried after a failure of the endpoint, even
- * if only its beginning has arrived. An endpoint that broke the connection but still accepts new
- * ones therefore receives the retry itself. This covers endpoints that reset single connections,
- * crash, or are partitioned off while they run requests.
+ * endpoints than the route allows, apart from those that have demonstrably ended or are cut off.
+ * None is retried after a failure of the endpoint, even if only its beginning has arrived. An
+ * endpoint that broke the connection but still accepts new ones therefore receives the retry
+ * itself. This covers endpoints that reset single connections, crash, or are partitioned off while
+ * they run requests.
  */
 public final class AttemptHistory {
 
@@ -124,7 +125,7 @@
     if (failure == AttemptFailure.REFUSED_FULL) {
       refusedBy.add(lastEndpoint);
     }
-    if (failure.isEndpointLost()) {
+    if (evidence.isProof()) {
       ranOn.remove(lastEndpoint);
     }
     if (failure.isFinal() || (mayHaveRun && !route.mayRepeat())) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/CrashDetector.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/CrashDetector.java
@@ -61,7 +61,7 @@
     return gateway
         .reachability()
         .probe(endpoint)
-        .map(accepted -> !accepted && !gateway.reachability().mayBePaused(endpoint))
+        .map(accepted -> !accepted && gateway.reachability().mayHaveCrashed(endpoint))
         .onSuccess(
             crashed -> {
               if (crashed) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -308,9 +308,22 @@
     crashDetector
         .hasCrashed(endpoint)
         .onSuccess(
-            crashed ->
-                proceedAfterFailure(
-                    endpoint, crashed ? AttemptFailure.UNREACHABLE : AttemptFailure.BROKEN, cause));
+            crashed -> {
+              if (crashed) {
+                awaitOrProceed(endpoint, AttemptFailure.UNREACHABLE, cause);
+              } else {
+                proceedAfterFailure(endpoint, AttemptFailure.BROKEN, cause);
+              }
+            });
+  }
+
+  // Whether an endpoint has ended may be known only after some time.
+  private void awaitOrProceed(EndpointEntry endpoint, AttemptFailure failure, String cause) {
+    if (pauseTolerance.awaits(endpoint)) {
+      gateway.vertx().setTimer(PauseTolerance.RETRY_MS, fired -> reconnect(endpoint));
+    } else {
+      proceedAfterFailure(endpoint, failure, cause);
+    }
   }
 
   private void proceedAfterFailure(EndpointEntry endpoint, AttemptFailure failure, String cause) {
@@ -490,14 +503,12 @@
       crashDetector.onReconnectFailed(endpoint);
     }
     gateway.metrics().countFailedAttempt(limitReached ? "NO_CONNECTION_LEFT" : "NOT_CONNECTED");
-    if (!limitReached && pauseTolerance.awaits(endpoint)) {
-      gateway.vertx().setTimer(PauseTolerance.RETRY_MS, fired -> reconnect(endpoint));
-      return;
+    String message = String.valueOf(cause.getMessage());
+    if (limitReached) {
+      proceedAfterFailure(endpoint, AttemptFailure.REFUSED_FULL, message);
+    } else {
+      awaitOrProceed(endpoint, AttemptFailure.NOT_CONNECTED, message);
     }
-    proceedAfterFailure(
-        endpoint,
-        limitReached ? AttemptFailure.REFUSED_FULL : AttemptFailure.NOT_CONNECTED,
-        String.valueOf(cause.getMessage()));
   }
 
   private void startAttempt(EndpointConnection connection) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -319,8 +319,8 @@
       }
 
       @Override
-      public boolean mayBePaused(EndpointEntry endpoint) {
-        return reachability.mayBePaused(endpoint);
+      public boolean mayBeSound(EndpointEntry endpoint) {
+        return reachability.mayBeSound(endpoint);
       }
 
       @Override
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/LossAssessor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/LossAssessor.java
@@ -62,16 +62,16 @@
   /** Returns what is known of the endpoint. */
   LossEvidence evidence(EndpointEntry endpoint) {
     EndpointId id = endpoint.id();
-    if (refusing.contains(id)) {
-      if (connections.isConnected(id)) {
-        return LossEvidence.REFUSES_FURTHER;
-      }
+    if (loads.isUnreachable(id) && isDataCentreCutOff(endpoint)) {
+      return LossEvidence.DATA_CENTRE_CUT_OFF;
+    }
+    if (refusesAll(id)) {
       return hasContact(each -> !each.id().equals(id))
           ? LossEvidence.PROCESS_ENDED
           : LossEvidence.REFUSED_WITHOUT_CONTACT;
     }
-    if (loads.isUnreachable(id) && isDataCentreCutOff(endpoint)) {
-      return LossEvidence.DATA_CENTRE_CUT_OFF;
+    if (refusing.contains(id)) {
+      return LossEvidence.REFUSES_FURTHER;
     }
     if (timedOut.contains(id)) {
       return LossEvidence.SILENT;
@@ -79,13 +79,18 @@
     return paths.isDirect(id) ? LossEvidence.NONE : LossEvidence.PATH_FAILED;
   }
 
-  // Endpoints that refuse connections have ended, and say nothing about the network.
+  // The operating system closes the connections of a process that ends, and refuses new ones.
+  private boolean refusesAll(EndpointId endpoint) {
+    return refusing.contains(endpoint) && !connections.isConnected(endpoint);
+  }
+
+  // Other endpoints that have ended say nothing about the network.
   private boolean isDataCentreCutOff(EndpointEntry endpoint) {
     boolean hasOthers = false;
     for (EndpointEntry each : routingState.endpoints().entries()) {
       if (each.dataCentre().equals(endpoint.dataCentre())
           && !each.id().equals(endpoint.id())
-          && !refusing.contains(each.id())) {
+          && !refusesAll(each.id())) {
         if (!loads.isUnreachable(each.id())) {
           return false;
         }
@@ -101,33 +106,8 @@
         .anyMatch(each -> eligible.test(each) && connections.lastContactMs(each.id()) >= sinceMs);
   }
 
-  /**
-   * Returns whether an unreachable endpoint may be sound and respond again soon: it does not refuse
-   * connections, and its data centre is not cut off, which makes all others there unreachable too.
-   */
-  boolean mayBePaused(EndpointEntry endpoint) {
-    if (refusing.contains(endpoint.id())) {
-      return false;
-    }
-    boolean hasOthers = false;
-    for (EndpointEntry each : routingState.endpoints().entries()) {
-      if (each.dataCentre().equals(endpoint.dataCentre())
-          && !each.id().equals(endpoint.id())
-          && !refusing.contains(each.id())) {
-        if (!loads.isUnreachable(each.id())) {
-          return true;
-        }
-        hasOthers = true;
-      }
-    }
-    return !hasOthers;
-  }
-
-  /**
-   * Returns whether the process of an unreachable endpoint may have ended. The operating system
-   * refuses connections to a process that has crashed, so they do not time out.
-   */
+  /** Returns whether the process of an unreachable endpoint may have ended. */
   boolean mayHaveCrashed(EndpointId endpoint) {
-    return refusing.contains(endpoint) || !timedOut.contains(endpoint);
+    return refusing.contains(endpoint) ? refusesAll(endpoint) : !timedOut.contains(endpoint);
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PauseTolerance.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PauseTolerance.java
@@ -5,12 +5,12 @@
 
 /**
  * Limits how long one request waits for an endpoint that may have run it, accepts no connections
- * and may be paused. Such an endpoint goes on with the request, so a retry at another endpoint
- * would exceed the limit of endpoints. Confined to one event loop.
+ * and may be sound. Such an endpoint goes on with the request, so a retry at another endpoint may
+ * exceed the limit of endpoints. Confined to one event loop.
  */
 final class PauseTolerance {
 
-  /** Delay before another reconnect to an endpoint that may be paused. */
+  /** Delay before another reconnect to an endpoint that may be sound. */
   static final long RETRY_MS = 100;
 
   private final GatewayContext gateway;
@@ -24,7 +24,7 @@
 
   /** Returns whether the request waits for the endpoint, to which no connection was established. */
   boolean awaits(EndpointEntry endpoint) {
-    if (!history.mayHaveRunOn(endpoint.id()) || !gateway.reachability().mayBePaused(endpoint)) {
+    if (!history.mayHaveRunOn(endpoint.id()) || !gateway.reachability().mayBeSound(endpoint)) {
       return false;
     }
     long nowMs = gateway.clock().millis();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ReachabilityMonitor.java
@@ -114,15 +114,16 @@
   /** Returns what this VM knows of an endpoint after an attempt there has failed. */
   LossEvidence evidence(EndpointEntry endpoint, AttemptFailure failure) {
     return switch (failure) {
-      case NOT_CONNECTED, UNREACHABLE -> losses.evidence(endpoint);
+      case NOT_CONNECTED, UNREACHABLE ->
+          runningProbes.containsKey(endpoint.id()) ? LossEvidence.NONE : losses.evidence(endpoint);
       case REFUSED_GONE -> LossEvidence.REPLACED;
       default -> LossEvidence.NONE;
     };
   }
 
-  /** Returns whether an unreachable endpoint may be sound and respond again soon. */
-  boolean mayBePaused(EndpointEntry endpoint) {
-    return losses.mayBePaused(endpoint);
+  /** Returns whether an endpoint without a connection may be sound and go on with its requests. */
+  boolean mayBeSound(EndpointEntry endpoint) {
+    return runningProbes.containsKey(endpoint.id()) || !losses.evidence(endpoint).isProof();
   }
 
   /** Returns whether the process of an unreachable endpoint may have ended. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Watchdog.java
@@ -52,8 +52,8 @@
   private static final long MAX_RESPONSE_GAP_MS = 500;
 
   /**
-   * Time without received bytes after which a request is sent to another endpoint if its endpoint
-   * accepts no connections either; a sound endpoint may pause for a second.
+   * Time without received bytes after which a request no longer waits for an endpoint that accepts
+   * no connections either; a sound endpoint may pause for a second.
    */
   static final long MAX_PAUSE_MS = 1_500;
 
@@ -94,8 +94,8 @@
     /** Returns whether no path reaches the endpoint. */
     boolean isUnreachable(EndpointEntry endpoint);
 
-    /** Returns whether an unreachable endpoint may be sound and respond again soon. */
-    boolean mayBePaused(EndpointEntry endpoint);
+    /** Returns whether an unreachable endpoint may be sound and go on with its requests. */
+    boolean mayBeSound(EndpointEntry endpoint);
 
     /**
      * Fetches a model engine's report of its running requests; empty if the engine's request limit
@@ -317,12 +317,12 @@
     silentAttempts.forEach(attempt -> failIfLost(attempt, clock.millis()));
   }
 
-  // A paused endpoint goes on with its requests by itself, beside the endpoint of the retry.
+  // A sound endpoint goes on with its requests by itself, beside the endpoint of a retry.
   private boolean failIfLost(RequestAttempt attempt, long nowMs) {
     EndpointEntry endpoint = attempt.endpoint();
     long lastHeardAtMs =
         Math.max(attempt.lastReceivedAtMs(), lastReceivedAtMs.getOrDefault(endpoint.id(), 0L));
-    boolean awaitsEndpoint = nowMs - lastHeardAtMs < MAX_PAUSE_MS && prober.mayBePaused(endpoint);
+    boolean awaitsEndpoint = nowMs - lastHeardAtMs < MAX_PAUSE_MS && prober.mayBeSound(endpoint);
     if (!attempt.isRetryable() || awaitsEndpoint) {
       return false;
     }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PausableEndpoints.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/PausableEndpoints.java
@@ -50,6 +50,25 @@
                         }));
   }
 
+  /** Resets the connections to an endpoint that were opened first. */
+  void resetOldestConnections(int index, int count) throws IOException {
+    links.get(index).resetOldest(count);
+  }
+
+  /** Returns how many client requests the endpoint has run. */
+  int countRequests(int index) {
+    return endpoints.get(index).requestIds().size();
+  }
+
+  /** Returns the index of the endpoint that has run the most requests. */
+  int busiest() {
+    int busiest = 0;
+    for (int i = 1; i < endpoints.size(); i++) {
+      busiest = countRequests(i) > countRequests(busiest) ? i : busiest;
+    }
+    return busiest;
+  }
+
   /** Waits until the endpoint that was paused last goes on. */
   void awaitResumed() {
     Await.result(resumed);
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/VmLinks.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/VmLinks.java
@@ -3,6 +3,7 @@
 import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.daemon.support.Await;
 import io.magnoliaroute.standin.users.StandinConfiguration;
 import io.magnoliaroute.standin.users.StandinEndpoint;
 import io.magnoliaroute.standin.users.StandinStore;
@@ -83,6 +84,13 @@
     }
   }
 
+  /** Restores the path to one endpoint, and waits until the VM uses it. */
+  void restore(int index) throws IOException {
+    EndpointLink link = links.get(index);
+    link.restore();
+    Await.until("the VM uses the path", () -> link.openConnections() > 0);
+  }
+
   /** Returns whether the VM has read all entries that name the links, and connected to each. */
   boolean areAllUsed() {
     return links.stream().allMatch(link -> link.openConnections() > 0);
