--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineCacheClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/EngineCacheClient.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.model.ProgramId;
 import io.magnoliaroute.core.settings.EndpointSettings;
+import io.magnoliaroute.wire.BodyReader;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -18,7 +19,14 @@
   private static final long TIMEOUT_MS = 1_000;
   private static final int OK = 200;
 
+  /** Limit of one response. */
+  private static final int MAX_RESPONSE_BYTES = 4_194_304;
+
+  /** Limit of all responses that are being read. */
+  private static final long MAX_TOTAL_RESPONSE_BYTES = 16_777_216;
+
   private final HttpClient client;
+  private final BodyReader bodies = new BodyReader(MAX_RESPONSE_BYTES, MAX_TOTAL_RESPONSE_BYTES);
 
   /**
    * Creates a client that opens a new connection for each request, as {@link EngineClient} does.
@@ -65,10 +73,13 @@
         .request(target)
         .compose(request -> request.send())
         .compose(
-            response ->
-                response.statusCode() == OK
-                    ? response.body().map(body -> body.toJsonObject())
-                    : Future.failedFuture(
-                        "cache request failed with HTTP status " + response.statusCode()));
+            response -> {
+              if (response.statusCode() != OK) {
+                response.request().reset();
+                return Future.failedFuture(
+                    "cache request failed with HTTP status " + response.statusCode());
+              }
+              return bodies.read(response, TIMEOUT_MS).map(body -> body.toJsonObject());
+            });
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/ServiceClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/ServiceClient.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.model.Bytes;
 import io.magnoliaroute.core.settings.EndpointSettings;
+import io.magnoliaroute.wire.BodyReader;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -20,11 +21,18 @@
   /** The request header that carries the fencing token. */
   public static final String FENCING_TOKEN_HEADER = "Magnoliaroute-Fencing-Token";
 
+  /** Limit of one response. */
+  private static final int MAX_RESPONSE_BYTES = 4_194_304;
+
+  /** Limit of all responses that are being read. */
+  private static final long MAX_TOTAL_RESPONSE_BYTES = 16_777_216;
+
   private static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
 
   private final Vertx vertx;
   private final HttpClient client;
   private final EndpointTimeouts timeouts;
+  private final BodyReader bodies = new BodyReader(MAX_RESPONSE_BYTES, MAX_TOTAL_RESPONSE_BYTES);
 
   /**
    * Creates a client that opens a new connection for each request. If the service closed a
@@ -108,7 +116,7 @@
     return promise.future().onComplete(done -> vertx.cancelTimer(timer));
   }
 
-  private static void sendOnConnection(
+  private void sendOnConnection(
       HttpClientRequest request,
       Buffer body,
       Promise<ServiceResponse> promise,
@@ -122,8 +130,8 @@
         .send(body)
         .compose(
             response ->
-                response
-                    .body()
+                bodies
+                    .read(response)
                     .map(
                         received ->
                             new ServiceResponse(
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/HttpLogClient.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/HttpLogClient.java
@@ -6,6 +6,7 @@
 import io.magnoliaroute.core.log.LogPort;
 import io.magnoliaroute.core.model.Bytes;
 import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.wire.BodyReader;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -36,6 +37,8 @@
   private static final long TIMEOUT_MS = 2_000;
   private static final int CONNECT_TIMEOUT_MS = 500;
   private static final int MAX_CONNECTIONS = 64;
+  private static final int MAX_RESPONSE_BYTES = 4_194_304;
+  private static final long MAX_TOTAL_RESPONSE_BYTES = 16_777_216;
   private static final int STATUS_OK = 200;
   private static final int STATUS_OFFSET_EXPIRED = 410;
   private static final int STATUS_UNAVAILABLE = 503;
@@ -43,6 +46,7 @@
   private final Vertx vertx;
   private final HttpClient client;
   private final HostPort address;
+  private final BodyReader bodies = new BodyReader(MAX_RESPONSE_BYTES, MAX_TOTAL_RESPONSE_BYTES);
 
   /** Creates a client of the log at the address. */
   public HttpLogClient(Vertx vertx, HostPort address) {
@@ -112,7 +116,7 @@
     }
   }
 
-  private static void sendBody(
+  private void sendBody(
       HttpClientRequest request,
       Buffer body,
       Promise<JsonObject> promise,
@@ -126,8 +130,8 @@
         .send(body)
         .compose(
             response ->
-                response
-                    .body()
+                bodies
+                    .read(response)
                     .map(responseBody -> decodeResponse(response.statusCode(), responseBody)))
         .onSuccess(
             decoded -> {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/VmListPoller.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/platform/VmListPoller.java
@@ -5,6 +5,7 @@
 import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.settings.HostPort;
 import io.magnoliaroute.daemon.metrics.DaemonMetrics;
+import io.magnoliaroute.wire.BodyReader;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -20,8 +21,10 @@
 
   private static final long POLL_INTERVAL_MS = 2_000;
   private static final int CONNECT_TIMEOUT_MS = 500;
+  private static final int MAX_LIST_BYTES = 4_194_304;
 
   private final HttpClient client;
+  private final BodyReader bodies = new BodyReader(MAX_LIST_BYTES, MAX_LIST_BYTES);
   private final HostPort address;
   private final Consumer<PlatformList> listener;
   private final DaemonMetrics metrics;
@@ -54,7 +57,7 @@
     client
         .request(target)
         .compose(request -> request.send())
-        .compose(response -> response.body())
+        .compose(response -> bodies.read(response, POLL_INTERVAL_MS))
         .map(body -> decodeList(body.toJsonObject()))
         .onSuccess(listener::accept)
         .onFailure(failure -> metrics.increment("vm_list_failures"));
