Give up responses of tiny parts and of empty lines

Callers saw: while one endpoint sends a body in chunks of one byte, or empty lines instead of a response, requests at sound endpoints of the same VM end at their deadline (504), up to 16 s late.

Cause: the limits count the bytes that are kept. Each chunk takes time on the event loop whatever its size, and empty lines before the status line are skipped without a limit. A plain response that had begun and not ended at the deadline was no failure of its endpoint either, so requests kept going there.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointResponseDecoder.java
@@ -35,6 +35,21 @@
   /** Limit of the body bytes of all surplus responses per request. */
   static final long MAX_SURPLUS_BYTES = 1_048_576;
 
+  /**
+   * Limit of the bytes before the status line of a response, which the super class skips if they
+   * are empty lines.
+   */
+  private static final int MAX_BYTES_BEFORE_HEAD = 1_024;
+
+  /**
+   * Number of body parts after which their mean size is checked. Each part takes time on the event
+   * loop, whatever its size.
+   */
+  private static final int MAX_SMALL_PARTS = 1_024;
+
+  /** Minimum of the mean size of body parts; several times less than the shortest usual event. */
+  private static final int MIN_MEAN_PART_BYTES = 8;
+
   /** Number of earlier requests whose methods are kept, which tell the length of a response. */
   private static final int MAX_EARLIER_REQUESTS = 32;
 
@@ -57,6 +72,9 @@
   private TokenMatcher ownId;
   private boolean statusLineReceived;
   private int protocolBytes;
+  private int bytesBeforeHead;
+  private long bodyParts;
+  private long bodyBytes;
   private ResponseHead surplusHead;
   private int surplusResponses;
   private long surplusBytes;
@@ -142,6 +160,9 @@
       listener = newListener;
       statusLineReceived = false;
       protocolBytes = 0;
+      bytesBeforeHead = 0;
+      bodyParts = 0;
+      bodyBytes = 0;
       phase = Phase.AWAITING_HEAD;
       responseStart.reset();
     }
@@ -177,6 +198,7 @@
     super.decode(context, in, out);
     if (phase == Phase.AWAITING_HEAD && !statusLineReceived) {
       findStatusLine(in, start);
+      checkBytesBeforeHead(in.readerIndex() - start);
     }
     if (!closing) {
       filter(out, first);
@@ -187,6 +209,13 @@
     }
   }
 
+  private void checkBytesBeforeHead(int bytes) {
+    bytesBeforeHead += bytes;
+    if (!statusLineReceived && bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
+      fail(AttemptFailure.BROKEN, "no status line within " + MAX_BYTES_BEFORE_HEAD + " bytes");
+    }
+  }
+
   private void findStatusLine(ByteBuf in, int start) {
     for (int i = start; i < in.readerIndex() && !statusLineReceived; i++) {
       char next = (char) in.getByte(i);
@@ -295,8 +324,9 @@
       case PASSED_RESPONSE -> {
         if (isLast) {
           endRequest();
+          return true;
         }
-        return true;
+        return hasProperSize(content);
       }
       case SURPLUS_RESPONSE -> {
         skip(content, isLast);
@@ -308,6 +338,18 @@
     }
   }
 
+  private boolean hasProperSize(HttpContent content) {
+    bodyParts++;
+    bodyBytes += content.content().readableBytes();
+    if (bodyParts <= MAX_SMALL_PARTS || bodyBytes >= bodyParts * MIN_MEAN_PART_BYTES) {
+      return true;
+    }
+    fail(
+        AttemptFailure.BROKEN,
+        "body parts have less than " + MIN_MEAN_PART_BYTES + " bytes on average");
+    return false;
+  }
+
   private void endRequest() {
     phase = Phase.IDLE;
     earlierRequests.put(request.id(), request.isHead());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -543,7 +543,9 @@
     }
     RequestAttempt attempt = attempts.current();
     boolean sent = attempt != null || history.mayHaveRun();
-    if (attempt != null && !attempt.hasResponseStarted() && !attempt.isPathLost()) {
+    // A stream may last longer than its request; a plain response that has begun may not.
+    boolean mayBeSlow = isStream() && attempt != null && attempt.hasResponseStarted();
+    if (attempt != null && !mayBeSlow && !attempt.isPathLost()) {
       gateway.loads().recordOutcome(attempt.endpoint().id(), false, now());
     }
     if (response.isStarted()) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointBytesTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointBytesTest.java
@@ -8,6 +8,7 @@
 import io.magnoliaroute.daemon.gateway.GatewayTestEnvironment.Response;
 import io.magnoliaroute.daemon.support.Await;
 import java.io.IOException;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +28,8 @@
 class EndpointBytesTest {
 
   private static final String LARGE_CHUNK = "x".repeat(8_192);
+  private static final int SMALL_PARTS = 2_000;
+  private static final int REQUESTS = 40;
 
   /** Route timeout of the test configuration, plus a margin for a busy machine. */
   private static final long MAX_CALL_MS = 2_000 + 1_500;
@@ -72,6 +75,25 @@
         call.writeRepeatedly("2000\r\n" + LARGE_CHUNK + "\r\n");
       }
     },
+    SMALL_CHUNKS {
+      @Override
+      void respond(RawEndpoint.Call call) {
+        call.write(call.head("Transfer-Encoding: chunked"));
+        call.writeRepeatedly("1\r\nx\r\n".repeat(SMALL_PARTS));
+      }
+    },
+    EMPTY_LINES {
+      @Override
+      void respond(RawEndpoint.Call call) {
+        call.writeRepeatedly("\r\n".repeat(SMALL_PARTS));
+      }
+    },
+    RESPONSES_TO_OTHERS {
+      @Override
+      void respond(RawEndpoint.Call call) {
+        call.writeRepeatedly(call.completeResponse("x").replace(call.id(), "other"));
+      }
+    },
     CHUNK_EXTENSION {
       @Override
       void respond(RawEndpoint.Call call) {
@@ -108,21 +130,36 @@
   @EnumSource(UnlimitedPart.class)
   @DisplayName("closes the connection, responds to its clients in time and limits its memory use")
   void endless(UnlimitedPart part) {
-    RawEndpoint endpoint = environment.startScriptedEndpoint(part::respond);
+    assertEndsInTime(part, environment.startScriptedEndpoint(part::respond));
+  }
+
+  @ParameterizedTest
+  @EnumSource(UnlimitedPart.class)
+  @DisplayName("closes the connection in time also if it leads through another VM")
+  void endlessThroughRelay(UnlimitedPart part) throws IOException {
+    VmLinks links = environment.joinSecondVmWithOwnLinks();
+    RawEndpoint endpoint = environment.startScriptedEndpoint(links, part::respond, false);
+    links.cut(EndpointLink.Cut.RESET);
+
+    assertEndsInTime(part, endpoint);
+  }
+
+  private void assertEndsInTime(UnlimitedPart part, RawEndpoint endpoint) {
     String path = part == UnlimitedPart.EVENT ? "/plainstream/x" : "/unsafe/x";
     long startNanos = System.nanoTime();
 
-    List<Integer> statuses = environment.sendConcurrently(40, "POST", path);
+    List<Integer> statuses = environment.sendConcurrently(REQUESTS, "POST", path);
 
     long elapsedMs = (System.nanoTime() - startNanos) / 1_000_000;
     assertFalse(statuses.contains(200) && part != UnlimitedPart.EVENT, statuses.toString());
     assertFalse(
-        statuses.contains(503) && endpoint.requestIds().size() == 40,
+        statuses.contains(503) && endpoint.requestIds().size() == REQUESTS,
         "refused a request that has run");
     assertTrue(elapsedMs < MAX_CALL_MS, "responded after " + elapsedMs + " ms");
     Await.until("the connections are closed", () -> endpoint.openConnections() == 0);
     long limitBytes =
-        ResponseMemoryLimiter.MAX_TOTAL_BYTES + 40L * ResponseMemoryLimiter.GUARANTEED_BYTES;
+        ResponseMemoryLimiter.MAX_TOTAL_BYTES
+            + (long) REQUESTS * ResponseMemoryLimiter.GUARANTEED_BYTES;
     assertTrue(
         environment.vm().peakResponseBytes() <= limitBytes,
         "peak buffer size in bytes: " + environment.vm().peakResponseBytes());
@@ -145,6 +182,27 @@
     assertEquals("sound", environment.call("GET", "/safe/x", Map.of()).body());
   }
 
+  @ParameterizedTest
+  @EnumSource(UnlimitedPart.class)
+  @DisplayName("serves requests at a sound endpoint beside, and soon sends all of them there")
+  void soundEndpointServes(UnlimitedPart part) {
+    environment.removeEndpoints();
+    RawEndpoint sound =
+        environment.addScriptedEndpoint(
+            "sound", call -> call.write(call.completeResponse("sound")));
+    environment.addScriptedEndpoint("faulty", part::respond);
+    for (int i = 0; i < 3; i++) {
+      environment.sendConcurrently(REQUESTS, "GET", "/safe/x");
+    }
+    int soundBefore = sound.requestIds().size();
+
+    List<Integer> statuses = environment.sendConcurrently(REQUESTS, "GET", "/safe/x");
+
+    int served = Collections.frequency(statuses, 200);
+    assertTrue(served >= REQUESTS - REQUESTS / 10, statuses.toString());
+    assertTrue(sound.requestIds().size() > soundBefore);
+  }
+
   @Nested
   @DisplayName("that sends surplus bytes")
   class SurplusBytes {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -12,6 +12,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import java.io.Closeable;
@@ -194,6 +195,23 @@
     return endpoint;
   }
 
+  /** Adds an endpoint that responds as the script defines. */
+  RawEndpoint addScriptedEndpoint(String id, RawEndpoint.Script script) {
+    int usableBefore = usableEndpointsAtFirstVm();
+    RawEndpoint endpoint = new RawEndpoint(vertx, script, false);
+    int port = Await.result(endpoint.start());
+    store.put("keyed.servers", id, StandinEndpoint.entryAt(port, "s", "ready", 1));
+    awaitUsableEndpoints(usableBefore + 1);
+    return endpoint;
+  }
+
+  /** Sends a request with a body of the given length and returns the status code. */
+  int sendBody(String path, int bodyBytes) {
+    Buffer body = Buffer.buffer(new byte[bodyBytes]);
+    return Await.result(client.send(vm.clientPort(), HttpMethod.POST, path, nextHeaders(), body))
+        .status();
+  }
+
   /** Replaces the endpoints of both VMs by one that responds as the script defines. */
   RawEndpoint startScriptedEndpoint(VmLinks links, RawEndpoint.Script script, boolean resets)
       throws IOException {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestHttpClient.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestHttpClient.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -24,6 +25,12 @@
   /** Sends a request; fails if the connection is closed before the response is complete. */
   Future<GatewayTestEnvironment.Response> send(
       int port, HttpMethod method, String path, Map<String, String> headers) {
+    return send(port, method, path, headers, Buffer.buffer());
+  }
+
+  /** Sends a request with a body; fails if the connection is closed before the response ends. */
+  Future<GatewayTestEnvironment.Response> send(
+      int port, HttpMethod method, String path, Map<String, String> headers, Buffer body) {
     RequestOptions options =
         new RequestOptions().setHost("127.0.0.1").setPort(port).setMethod(method).setURI(path);
     Promise<GatewayTestEnvironment.Response> result = Promise.promise();
@@ -35,7 +42,7 @@
                 .compose(
                     request -> {
                       headers.forEach(request::putHeader);
-                      return request.send().compose(TestHttpClient::toResponse);
+                      return request.send(body).compose(TestHttpClient::toResponse);
                     })
                 .onComplete(result));
     return result.future();
