Close connections to endpoints that do not read

Callers would see: requests are slow at a VM that one endpoint keeps busy.

Cause: the library's close waits until all bytes are written. An endpoint that writes without end and does not read kept the connection of a request that had been given up open for ever, and the VM went on decoding its bytes.

Change: the connection is closed at the first handler of its pipeline, which does not wait.

Evidence: EndpointBytesTest.endpointDoesNotRead failed before (the VM still took bytes 20 s after its 502) and passes now.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientPipelines.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientPipelines.java
@@ -1,5 +1,6 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelPipeline;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
@@ -21,6 +22,12 @@
     return internal.channelHandlerContext().pipeline();
   }
 
+  /** Closes a connection at once, without writing the bytes that wait to be written. */
+  static void close(HttpClientConnection connection) {
+    // From the first handler, so that none defers the close until all bytes are written.
+    ChannelFuture unused = of(connection).firstContext().close();
+  }
+
   private static VarHandle findInternalConnection() {
     Class<?> type = UnpooledHttpClientConnection.class;
     try {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -193,11 +193,14 @@
     pool(connection.endpoint()).idle.addLast(connection);
   }
 
-  /** Closes a connection, which aborts the request that it carries, if any. */
+  /**
+   * Closes a connection, which aborts the request that it carries, if any. Does not wait for bytes
+   * that are not written yet: an endpoint that does not read would keep the connection open.
+   */
   void close(EndpointConnection connection) {
     if (!connection.isClosed()) {
       pools.get(connection.endpoint().id()).idle.remove(connection);
-      connection.connection().close();
+      ClientPipelines.close(connection.connection());
     }
   }
 
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointBytesTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/EndpointBytesTest.java
@@ -11,6 +11,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
@@ -31,6 +32,9 @@
   private static final int SMALL_PARTS = 2_000;
   private static final int REQUESTS = 40;
 
+  /** More than the sockets of both sides hold. */
+  private static final int LARGE_BODY_BYTES = 4_000_000;
+
   /** Route timeout of the test configuration, plus a margin for a busy machine. */
   private static final long MAX_CALL_MS = 2_000 + 1_500;
 
@@ -203,6 +207,29 @@
     assertTrue(sound.requestIds().size() > soundBefore);
   }
 
+  @Test
+  @DisplayName("closes the connection to an endpoint that writes without end and does not read")
+  void endpointDoesNotRead() {
+    AtomicBoolean refusesBytes = new AtomicBoolean();
+    environment.startScriptedEndpoint(
+        call -> {
+          call.socket().pause();
+          writeUntilRefused(call, refusesBytes);
+        });
+
+    int status = environment.sendBody("/unsafe/x", LARGE_BODY_BYTES);
+
+    assertEquals(502, status);
+    Await.until("the VM takes no more bytes", refusesBytes::get);
+  }
+
+  private static void writeUntilRefused(RawEndpoint.Call call, AtomicBoolean refused) {
+    call.socket()
+        .write("HTTP/1.1 103 Early Hints\r\n\r\n")
+        .onSuccess(written -> call.vertx().runOnContext(next -> writeUntilRefused(call, refused)))
+        .onFailure(e -> refused.set(true));
+  }
+
   @Nested
   @DisplayName("that sends surplus bytes")
   class SurplusBytes {
