Limit the text and the tool calls of an engine's response

Callers would see: the daemon runs out of memory, and all programs on it end.

Cause: the builder of a response kept all tokens that an engine sends, and the progress timer starts again with each. One event with a large index of a tool call created as many tool calls; a negative index was an unexpected error.

Change: text and tool arguments are limited to 4 MiB together, tool calls to 1,024; beyond that the response is malformed and the call ends. Arguments are no longer copied with each event.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/ResponseBuilder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/engine/ResponseBuilder.java
@@ -1,21 +1,32 @@
 package io.magnoliaroute.daemon.engine;
 
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Assembles the complete response of an engine from the events of its stream. */
 final class ResponseBuilder {
 
+  /** Limit of the text and the arguments of tool calls together. */
+  private static final int MAX_CONTENT_CHARS = 4_194_304;
+
+  private static final int MAX_TOOL_CALLS = 1_024;
+
   private final StringBuilder content = new StringBuilder();
   private final JsonArray toolCalls = new JsonArray();
+  private final List<StringBuilder> toolArguments = new ArrayList<>();
   private String id = "";
   private String finishReason;
   private JsonObject usage;
   private int tokenCount;
+  private int contentChars;
 
   /**
    * Adds one event.
    *
+   * @throws DecodeException if the event or the whole response exceeds a limit
    * @return whether the event is at the end of the response: it carries or follows the finish
    *     reason, or has token usage but no choices
    */
@@ -46,6 +57,12 @@
   }
 
   EngineResponse build() {
+    for (int i = 0; i < toolCalls.size(); i++) {
+      toolCalls
+          .getJsonObject(i)
+          .getJsonObject("function")
+          .put("arguments", toolArguments.get(i).toString());
+    }
     JsonObject message = new JsonObject().put("role", "assistant").put("content", text());
     if (!toolCalls.isEmpty()) {
       message.put("tool_calls", toolCalls);
@@ -67,7 +84,7 @@
     }
     String text = delta.getString("content");
     if (text != null && !text.isEmpty()) {
-      content.append(text);
+      content.append(checkLength(text));
       tokenCount++;
     }
     JsonArray calls = delta.getJsonArray("tool_calls");
@@ -82,8 +99,13 @@
 
   private void addToolCall(JsonObject delta) {
     int index = delta.getInteger("index", 0);
+    if (index < 0 || index >= MAX_TOOL_CALLS) {
+      throw new DecodeException(
+          "index of a tool call must be from 0 to " + (MAX_TOOL_CALLS - 1) + ", was " + index);
+    }
     while (toolCalls.size() <= index) {
-      toolCalls.add(new JsonObject().put("function", new JsonObject().put("arguments", "")));
+      toolCalls.add(new JsonObject().put("function", new JsonObject()));
+      toolArguments.add(new StringBuilder());
     }
     JsonObject toolCall = toolCalls.getJsonObject(index);
     delta.forEach(
@@ -97,7 +119,14 @@
     if (functionDelta.containsKey("name")) {
       toolFunction.put("name", functionDelta.getString("name"));
     }
-    String arguments = toolFunction.getString("arguments", "");
-    toolFunction.put("arguments", arguments + functionDelta.getString("arguments", ""));
+    toolArguments.get(index).append(checkLength(functionDelta.getString("arguments", "")));
+  }
+
+  private String checkLength(String text) {
+    contentChars += text.length();
+    if (contentChars > MAX_CONTENT_CHARS) {
+      throw new DecodeException("response exceeds " + MAX_CONTENT_CHARS + " characters");
+    }
+    return text;
   }
 }
