Take no endpoint for ended because this VM has closed its connections

Cause: an endpoint has ended if it refuses connections and has none open to this VM. When a connection is refused, this VM closes its idle ones to that endpoint, and the others once they become idle, so a full endpoint looked as if it had ended.

Change: the pool tells connections that the endpoint closes from those that this VM closes. An endpoint that had connections open when it refused the first further one counts as full until it closes one of them itself.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnection.java
@@ -15,6 +15,7 @@
   private final EndpointResponseDecoder responses;
   private boolean pathLost;
   private Runnable onClose = () -> {};
+  private boolean closing;
   private boolean closed;
   private boolean carriesRequests;
   private boolean reused;
@@ -90,6 +91,15 @@
     return responses.mayHaveReceivedFailure();
   }
 
+  /** Marks that this VM is closing the connection. */
+  void markClosing() {
+    closing = true;
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
   boolean isClosed() {
     return closed;
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
 
 /** The pool of connections from this VM to endpoints. Confined to one event loop. */
@@ -47,6 +48,7 @@
   private final Map<EndpointId, Pool> pools = new HashMap<>();
   private final IntUnaryOperator connectionShare;
   private final Map<EndpointId, Long> lastContactMs = new HashMap<>();
+  private Consumer<EndpointId> closeListener = endpoint -> {};
   private long openedCount;
 
   private static final class Pool {
@@ -94,6 +96,11 @@
                 .setDecompressionSupported(false));
   }
 
+  /** Sets the listener that receives the endpoint of each connection that this VM did not close. */
+  void setCloseListener(Consumer<EndpointId> listener) {
+    closeListener = listener;
+  }
+
   /** Returns the number of connections that have been opened since the start. */
   long openedCount() {
     return openedCount;
@@ -154,6 +161,9 @@
                   closed -> {
                     pool.open.remove(pooled);
                     pool.idle.remove(pooled);
+                    if (!pooled.isClosing()) {
+                      closeListener.accept(endpoint.id());
+                    }
                     pooled.markClosed();
                   });
               return pooled;
@@ -200,6 +210,7 @@
   void close(EndpointConnection connection) {
     if (!connection.isClosed()) {
       pools.get(connection.endpoint().id()).idle.remove(connection);
+      connection.markClosing();
       ClientPipelines.close(connection.connection());
     }
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/LossAssessor.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/LossAssessor.java
@@ -27,6 +27,7 @@
   private final EndpointConnectionPool connections;
   private final InstantSource clock;
   private final Set<EndpointId> refusing = new HashSet<>();
+  private final Set<EndpointId> refusingFurther = new HashSet<>();
   private final Set<EndpointId> timedOut = new HashSet<>();
 
   LossAssessor(
@@ -40,22 +41,29 @@
     this.paths = paths;
     this.connections = connections;
     this.clock = clock;
+    connections.setCloseListener(refusingFurther::remove);
   }
 
   /** Records why no direct connection was established. */
   void recordDirectFailure(EndpointId endpoint, Throwable cause) {
-    (cause instanceof ConnectTimeoutException ? timedOut : refusing).add(endpoint);
+    if (cause instanceof ConnectTimeoutException) {
+      timedOut.add(endpoint);
+    } else if (refusing.add(endpoint) && connections.isConnected(endpoint)) {
+      refusingFurther.add(endpoint);
+    }
   }
 
   /** Discards the failures of an endpoint that is reachable again. */
   void clear(EndpointId endpoint) {
     refusing.remove(endpoint);
+    refusingFurther.remove(endpoint);
     timedOut.remove(endpoint);
   }
 
   /** Removes the state of endpoints that are no longer listed. */
   void retain(Collection<EndpointId> listed) {
     refusing.retainAll(listed);
+    refusingFurther.retainAll(listed);
     timedOut.retainAll(listed);
   }
 
@@ -79,9 +87,12 @@
     return paths.isDirect(id) ? LossEvidence.NONE : LossEvidence.PATH_FAILED;
   }
 
-  // The operating system closes the connections of a process that ends, and refuses new ones.
+  // The operating system closes the connections of a process that ends, and refuses new ones. That
+  // none is open shows nothing if this VM has closed them.
   private boolean refusesAll(EndpointId endpoint) {
-    return refusing.contains(endpoint) && !connections.isConnected(endpoint);
+    return refusing.contains(endpoint)
+        && !refusingFurther.contains(endpoint)
+        && !connections.isConnected(endpoint);
   }
 
   // Other endpoints that have ended say nothing about the network.
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestsOnSeveralEndpointsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/RequestsOnSeveralEndpointsTest.java
@@ -96,14 +96,14 @@
       assertTrue(Collections.frequency(statuses, 200) >= runAtOthers, statuses.toString());
     }
 
-    @ParameterizedTest
-    @ValueSource(strings = {"/slow/x", "/stream/x"})
-    @DisplayName("accepts no further connections for a while")
-    void endpointIsFull(String path) throws IOException {
-      List<Future<Response>> responses = beginRequests(path, 2 * WORK_MS);
+    @ParameterizedTest(name = "{0}, {1} ms of work")
+    @CsvSource({"/slow/x,1400", "/stream/x,1400", "/slow/x,700", "/stream/x,700"})
+    @DisplayName("accepts no further connections, also after its open ones have become idle")
+    void endpointIsFull(String path, long workMs) throws IOException {
+      List<Future<Response>> responses = beginRequests(path, workMs);
       int full = endpoints.busiest();
 
-      endpoints.pause(full, Cut.REFUSES_NEW, 600);
+      endpoints.pause(full, Cut.REFUSES_NEW, 1_000);
       endpoints.resetOldestConnections(full, 2);
 
       assertEquals(Collections.nCopies(REQUESTS, 200), statuses(responses));
