--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
@@ -21,6 +21,8 @@
 
   private static final EndpointId FIRST = new EndpointId("e1");
   private static final EndpointId SECOND = new EndpointId("e2");
+  private static final Set<LossEvidence> PROOFS =
+      Set.of(LossEvidence.PROCESS_ENDED, LossEvidence.DATA_CENTRE_CUT_OFF, LossEvidence.REPLACED);
 
   private static AttemptHistory history(RouteKind kind, boolean resumable, int attempts) {
     return new AttemptHistory(
@@ -119,7 +121,7 @@
       history.beginAttempt(FIRST);
 
       assertEquals(
-          evidence.isProof() ? RetryAction.OTHER_ENDPOINT : RetryAction.ANSWER_UNKNOWN,
+          PROOFS.contains(evidence) ? RetryAction.OTHER_ENDPOINT : RetryAction.ANSWER_UNKNOWN,
           history.recordFailure(AttemptFailure.NOT_CONNECTED, evidence));
     }
 
