--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestMetadata.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestMetadata.java
@@ -17,6 +17,12 @@
  * @param prefix the leading segments of the prompt, in order
  * @param lastEventId id of the event after which the client resumes a stream
  * @param resumedRequestId the id of the attempt that delivered the first event of a resumed stream
+ * @param previousTurnId the request id of the turn that this turn continues, on routes whose turns
+ *     the system keeps; empty at the start of a chain
+ * @param expectedOutputTokens the client's estimate of the generated tokens; accurate at the median
+ *     but often far off
+ * @param affinityKey the object that the request concerns; requests for the same object have the
+ *     same key
  */
 public record RequestMetadata(
     String requestId,
@@ -29,7 +35,10 @@
     long maxOutputTokens,
     List<PromptSegment> prefix,
     Optional<String> lastEventId,
-    Optional<String> resumedRequestId) {
+    Optional<String> resumedRequestId,
+    Optional<String> previousTurnId,
+    Optional<Long> expectedOutputTokens,
+    Optional<String> affinityKey) {
 
   /** Makes a defensive copy of the prefix. */
   public RequestMetadata {
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/Route.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/Route.java
@@ -16,6 +16,13 @@
  * @param rank the priority rank of the route's requests; 0 is the highest
  * @param maxEndpoints maximum number of endpoints that one request may run on
  * @param backends the services among which the requests are distributed
+ * @param isPublic whether requests need no key
+ * @param sticky whether an endpoint serves requests faster if it served the same object or prompt
+ *     lately
+ * @param historyRetentionMs how long the system keeps the turns of this route; 0 if clients send
+ *     the whole prompt with each turn
+ * @param maxEventGapMs the longest pause between events for which a stream is on time; 0 if there
+ *     is no target
  */
 public record Route(
     String name,
@@ -27,7 +34,11 @@
     long targetLatencyMs,
     int rank,
     int maxEndpoints,
-    List<Backend> backends) {
+    List<Backend> backends,
+    boolean isPublic,
+    boolean sticky,
+    long historyRetentionMs,
+    long maxEventGapMs) {
 
   /**
    * A service and its weight in a route.
@@ -46,6 +57,13 @@
     }
   }
 
+  /**
+   * Returns whether the system keeps the turns of this route, so that clients send only new input.
+   */
+  public boolean keepsHistory() {
+    return historyRetentionMs > 0;
+  }
+
   /** Returns whether a request that may have run may be retried. */
   public boolean mayRepeat() {
     return kind.mayRepeat(resumable);
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RoutingTable.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RoutingTable.java
@@ -1,5 +1,6 @@
 package io.magnoliaroute.core.gateway;
 
+import io.magnoliaroute.core.gateway.workspace.WorkspaceDirectory;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -15,13 +16,29 @@
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services;
   private final ClientLimits limits;
+  private final Optional<WorkspaceDirectory> workspaces;
 
-  /** Creates the table of a configuration version. */
+  /** Creates the table of a configuration version without workspaces. */
   public RoutingTable(
       long version, List<Route> routes, Map<String, ServiceSpec> services, ClientLimits limits) {
+    this(version, routes, services, limits, Optional.empty());
+  }
+
+  /**
+   * Creates the table of a configuration version.
+   *
+   * @param workspaces the workspaces; empty if requests need no key
+   */
+  public RoutingTable(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceSpec> services,
+      ClientLimits limits,
+      Optional<WorkspaceDirectory> workspaces) {
     this.version = version;
     this.services = Map.copyOf(services);
     this.limits = limits;
+    this.workspaces = workspaces;
     for (Route route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
     }
@@ -40,6 +57,11 @@
     return limits;
   }
 
+  /** Returns the workspaces; empty if the configuration has none, so that requests need no key. */
+  public Optional<WorkspaceDirectory> workspaces() {
+    return workspaces;
+  }
+
   /** Returns the service with the given name. */
   public Optional<ServiceSpec> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/AttemptHistoryTest.java
@@ -36,7 +36,11 @@
             100,
             0,
             attempts,
-            List.of(new Route.Backend("s", 1))));
+            List.of(new Route.Backend("s", 1)),
+            false,
+            false,
+            0,
+            0));
   }
 
   @Nested
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/EndpointSelectorTest.java
@@ -64,6 +64,9 @@
         0,
         List.of(prefix),
         Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
@@ -212,6 +212,9 @@
               OUTPUT_TOKENS,
               prefix(),
               Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
               Optional.empty());
       while (true) {
         EndpointSelector.Selection selection = select(metadata);
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/RoutingTableTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/RoutingTableTest.java
@@ -15,7 +15,20 @@
 
   private static Route route(String name, String host, String prefix, Route.Backend... backends) {
     return new Route(
-        name, host, prefix, RouteKind.IDEMPOTENT, false, 1_000, 100, 0, 1, List.of(backends));
+        name,
+        host,
+        prefix,
+        RouteKind.IDEMPOTENT,
+        false,
+        1_000,
+        100,
+        0,
+        1,
+        List.of(backends),
+        false,
+        false,
+        0,
+        0);
   }
 
   private static final Route SHORT = route("short", "h", "/a/", new Route.Backend("s1", 1));
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/SharedOutcomesTest.java
@@ -138,6 +138,9 @@
               0,
               List.of(),
               Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
               Optional.empty());
       EndpointEntry selected = vm.selector.select("s", request, Set.of(), nowMs).orElseThrow();
       Endpoint endpoint =
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientRequest.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientRequest.java
@@ -2,14 +2,18 @@
 
 import io.magnoliaroute.core.gateway.RequestMetadata;
 import io.magnoliaroute.core.gateway.Route;
+import io.magnoliaroute.core.gateway.workspace.Workspace;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * A client request that has been received completely.
  *
  * @param route the route that the request matched
+ * @param workspace the workspace that holds the request's key; empty if it has none
  * @param metadata the metadata from the request headers
  * @param method the HTTP method
  * @param uri the path and query, as received
@@ -19,6 +23,7 @@
  */
 record ClientRequest(
     Route route,
+    Optional<Workspace> workspace,
     RequestMetadata metadata,
     HttpMethod method,
     String uri,
@@ -31,4 +36,11 @@
     long timeoutMs = metadata.deadlineMs().orElse(route.timeoutMs());
     return arrivedMs + Math.min(timeoutMs, route.timeoutMs());
   }
+
+  /**
+   * Returns the priority rank, which a workspace may set for all its requests; 0 is the highest.
+   */
+  int rank() {
+    return workspace.map(Workspace::rank).orElse(OptionalInt.empty()).orElse(route.rank());
+  }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
@@ -320,6 +320,7 @@
       ClientRequest complete =
           new ClientRequest(
               route,
+              Optional.empty(),
               metadata,
               request.method(),
               request.uri(),
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointWait.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointWait.java
@@ -28,6 +28,6 @@
   // requests of the highest priority accept, so the latter still find permits.
   long maxPermitDelayMs() {
     long leftMs = Math.max(0, remainingMs());
-    return request.route().rank() == 0 ? leftMs : leftMs / 2;
+    return request.rank() == 0 ? leftMs : leftMs / 2;
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -149,11 +149,7 @@
     this.storeHealth = new StoreHealth(clock, log);
     this.store = new StoreClient(vertx, settings.store(), metrics::countStoreCall);
     this.routingStateUpdater = new RoutingStateUpdater(routingState, storeHealth, clock, log);
-    VmEntry self =
-        new VmEntry(
-            settings.vm(),
-            settings.peerListen().orElse(settings.clientListen()),
-            settings.dataCentre());
+    VmEntry self = ownEntry(settings);
     this.vmDirectory = new VmDirectory(self, store, clock, log);
     this.peers = new PeerConnections(vertx, clock, log, metrics, socketShare(PEER_SOCKET_SHARE));
     this.allowances = createAllowances(self);
@@ -199,6 +195,15 @@
     this.clientServer = new ClientServer(gateway, socketShare(CLIENT_SOCKET_SHARE));
   }
 
+  private static VmEntry ownEntry(BootSettings settings) {
+    return new VmEntry(
+        settings.vm(),
+        settings.peerListen().orElse(settings.clientListen()),
+        settings.dataCentre(),
+        VmEntry.CURRENT_PROTOCOL,
+        settings.cpuCores());
+  }
+
   private int socketShare(double share) {
     int sockets = settings.maxDescriptors() - BootSettings.FILE_DESCRIPTORS;
     return Math.max(1, (int) (share * sockets));
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -263,7 +263,12 @@
     for (VmEntry vm : vmDirectory.all()) {
       vms.add(
           new PeerMessage.VmInfo(
-              vm.vm().value(), vm.address().host(), vm.address().port(), vm.dataCentre()));
+              vm.vm().value(),
+              vm.address().host(),
+              vm.address().port(),
+              vm.dataCentre(),
+              vm.peerProtocol(),
+              vm.cpuCores()));
     }
     byte[] config =
         request.configVersion() < routingState.tableVersion()
@@ -285,13 +290,20 @@
         crashQuarantine.crashingRequests());
   }
 
+  private static VmEntry toEntry(PeerMessage.VmInfo vm) {
+    VmId id = new VmId(vm.vm());
+    HostPort address = new HostPort(vm.host(), vm.port());
+    return vm.peerProtocol() == null || vm.cpuCores() == null
+        ? new VmEntry(id, address, vm.dataCentre())
+        : new VmEntry(id, address, vm.dataCentre(), vm.peerProtocol(), vm.cpuCores());
+  }
+
   private void applyReply(PeerMessage.RoutingStateReply reply) {
     if (reply.config().sizeBytes() > 0) {
       routingStateUpdater.applyConfiguration(reply.config().toArray(), "peer");
     }
     for (PeerMessage.VmInfo vm : reply.vms()) {
-      vmDirectory.addFromPeer(
-          new VmEntry(new VmId(vm.vm()), new HostPort(vm.host(), vm.port()), vm.dataCentre()));
+      vmDirectory.addFromPeer(toEntry(vm));
     }
     List<EndpointEntry> endpoints = new ArrayList<>();
     for (PeerMessage.EndpointInfo endpoint : reply.endpoints()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/Authenticator.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/http/Authenticator.java
@@ -1,12 +1,11 @@
 package io.magnoliaroute.daemon.http;
 
+import io.magnoliaroute.core.gateway.workspace.BearerKeyHash;
 import io.magnoliaroute.core.model.Bytes;
 import io.magnoliaroute.core.model.TeamId;
 import io.magnoliaroute.core.settings.SettingsTree;
 import io.magnoliaroute.core.settings.TeamSettings;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -23,7 +22,6 @@
  */
 public final class Authenticator {
 
-  private static final String BEARER_PREFIX = "Bearer ";
   private static final int BUCKET_HEX_CHARS = 8;
 
   private final List<byte[]> operatorHashes;
@@ -85,22 +83,11 @@
 
   /** Returns the SHA-256 of a token in lower-case hexadecimal, the form used in the settings. */
   public static String hashToken(String token) {
-    return HexFormat.of().formatHex(sha256(token));
+    return BearerKeyHash.ofKey(token).hex();
   }
 
   private static byte[] tokenHash(String header) {
-    if (header == null || !header.startsWith(BEARER_PREFIX)) {
-      return null;
-    }
-    return sha256(header.substring(BEARER_PREFIX.length()).strip());
-  }
-
-  private static byte[] sha256(String token) {
-    try {
-      return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
-    }
+    return BearerKeyHash.ofAuthorization(header).map(hash -> decodeHex(hash.hex())).orElse(null);
   }
 
   private static byte[] decodeHex(String hash) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestVm.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestVm.java
@@ -1,5 +1,7 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.magnoliaroute.core.gateway.quota.QuotaBounds;
+import io.magnoliaroute.core.gateway.workspace.KeyRevocation;
 import io.magnoliaroute.core.model.VmId;
 import io.magnoliaroute.core.settings.HostPort;
 import io.magnoliaroute.daemon.lifecycle.SteadyClock;
@@ -71,7 +73,10 @@
             gracePeriodMs,
             2_000,
             2_000,
-            4_100);
+            4_100,
+            KeyRevocation.DEFAULT,
+            QuotaBounds.DEFAULT,
+            1);
     InstantSource clock = new SteadyClock(InstantSource.system(), System::nanoTime);
     GatewayNode node =
         Await.result(
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -367,8 +367,15 @@
     }
   }
 
-  /** A VM and the address at which peers connect to it. */
-  record VmInfo(String vm, String host, int port, String dataCentre) {}
+  /**
+   * A VM and the address at which peers connect to it.
+   *
+   * @param peerProtocol the version of this protocol that the VM understands; null in messages of
+   *     earlier releases
+   * @param cpuCores the processor share of the VM in cores; null in messages of earlier releases
+   */
+  record VmInfo(
+      String vm, String host, int port, String dataCentre, Integer peerProtocol, Double cpuCores) {}
 
   /** A header field of a forwarded request or of its response. */
   record HeaderField(String name, String value) {}
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -81,7 +81,7 @@
                 new PeerMessage.EndpointInfo("e1", "s", "127.0.0.1", 7, "dc", 8, true, 1, 2, "v1")),
             List.of(new PeerMessage.EndpointDeparture("e2", 5, 7)),
             List.of(new PeerMessage.RequestLimitNote("e1", 5, true, 8.25)),
-            List.of(new PeerMessage.VmInfo("vm-1", "127.0.0.1", 7, "dc")),
+            List.of(new PeerMessage.VmInfo("vm-1", "127.0.0.1", 7, "dc", 2, 0.25)),
             List.of(new PeerMessage.CrashingRequest("f1", List.of("e1"), 5))));
   }
 
