Run requests for the workspace that holds their key

Cause: keys and workspaces of a configuration were decoded but not applied: requests ran with any key, and the key and the client's own workspace name reached the endpoint.

Change: KeyAuthorization decides by the configuration, the route and how recently the store has confirmed the configuration; unknown keys get 401, or 503 while they may have been added unnoticed; withdrawn ones run on only where revocation is not strict. Endpoints get the workspace's name and never the key.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientResponse.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientResponse.java
@@ -12,6 +12,7 @@
 final class ClientResponse {
 
   private static final String CLOSE = "close";
+  private static final int UNAUTHORIZED = 401;
 
   private final HttpServerRequest request;
   private final HttpServerResponse response;
@@ -50,6 +51,9 @@
     if (retryAfterMs > 0) {
       response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / 1_000.0));
     }
+    if (status == UNAUTHORIZED) {
+      response.putHeader("WWW-Authenticate", "Bearer");
+    }
     announceClose();
     response.end(text + "\n");
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
@@ -5,6 +5,8 @@
 import io.magnoliaroute.core.gateway.RequestMetadata;
 import io.magnoliaroute.core.gateway.Route;
 import io.magnoliaroute.core.gateway.RoutingTable;
+import io.magnoliaroute.core.gateway.workspace.KeyAuthorization;
+import io.magnoliaroute.core.gateway.workspace.Workspace;
 import io.magnoliaroute.core.settings.HostPort;
 import io.magnoliaroute.daemon.http.StrictRequestDecoder;
 import io.magnoliaroute.platform.PlatformFormatException;
@@ -28,6 +30,7 @@
   private static final int BACKLOG = 1_024;
   private static final int MAX_HEADER_BYTES = 65_536;
   private static final int BAD_REQUEST = 400;
+  private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
   private static final int TIMED_OUT = 408;
   private static final int TOO_LARGE = 413;
@@ -308,25 +311,35 @@
         reject(NOT_FOUND, "no route", 0);
         return;
       }
+      KeyAuthorization authorization =
+          gateway.keys().authorize(table.get(), route.get(), request.headers());
+      switch (authorization.verdict()) {
+        case REJECTED -> reject(UNAUTHORIZED, "unknown key", 0);
+        case UNCERTAIN -> reject(UNAVAILABLE, "key not confirmed", NOT_READY_RETRY_AFTER_MS);
+        default -> startExchange(table.get(), route.get(), authorization.workspace());
+      }
+    }
+
+    private void startExchange(RoutingTable table, Route route, Optional<Workspace> workspace) {
       try {
         RequestMetadata metadata = RequestHeaderCodec.decode(request.headers());
-        startExchange(route.get(), metadata);
+        startExchange(
+            new ClientRequest(
+                route,
+                table.workspaces().isPresent(),
+                workspace,
+                metadata,
+                request.method(),
+                request.uri(),
+                request.headers(),
+                body.complete(),
+                arrivedMs));
       } catch (PlatformFormatException e) {
         reject(BAD_REQUEST, "malformed request", e.getMessage(), 0);
       }
     }
 
-    private void startExchange(Route route, RequestMetadata metadata) {
-      ClientRequest complete =
-          new ClientRequest(
-              route,
-              Optional.empty(),
-              metadata,
-              request.method(),
-              request.uri(),
-              request.headers(),
-              body.complete(),
-              arrivedMs);
+    private void startExchange(ClientRequest complete) {
       if (!mayEndBeforeStop(complete)) {
         reject(UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER_MS);
         return;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -6,7 +6,6 @@
 import io.magnoliaroute.core.gateway.EndpointSelector;
 import io.magnoliaroute.core.gateway.LossEvidence;
 import io.magnoliaroute.core.gateway.RetryAction;
-import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.model.Hashing;
 import io.magnoliaroute.core.retry.Fingerprint;
 import io.magnoliaroute.platform.RequestHeaderCodec;
@@ -24,7 +23,6 @@
   /** Size limit of a single event; several hundred times the usual size. */
   private static final int MAX_EVENT_BYTES = 131_072;
 
-  private static final int PAYMENT_REQUIRED = 402;
   private static final int SERVER_FAILURE = 500;
   private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
@@ -43,7 +41,7 @@
    * {@code Retry-After} of refused requests; about the duration of a short request to a service
    * without streaming.
    */
-  private static final long RETRY_AFTER_MS = 100;
+  static final long RETRY_AFTER_MS = 100;
 
   /**
    * {@code Retry-After} while no endpoint of the service accepts connections; about the time to the
@@ -55,7 +53,7 @@
   private final ClientRequest request;
   private final ClientResponse response;
   private final AttemptHistory history;
-  private final TurnReservation reservation;
+  private final RequestAdmission admission;
   private final Fingerprint fingerprint;
   private final CrashDetector crashDetector;
   private final PauseTolerance pauseTolerance;
@@ -83,7 +81,6 @@
     this.response = response;
     this.onFinished = onFinished;
     this.history = new AttemptHistory(request.route());
-    this.reservation = new TurnReservation(gateway.budgets(), request.metadata());
     String key = request.metadata().programId().orElse(request.metadata().requestId());
     this.service = request.route().serviceFor(Hashing.fnv1a64(key) >>> 1);
     this.wait = new EndpointWait(request, gateway.clock());
@@ -95,6 +92,7 @@
     this.fingerprint =
         Fingerprint.ofServiceCall(
             request.uri(), request.method().name(), request.body().toString("ISO-8859-1"));
+    this.admission = new RequestAdmission(gateway, request, stream, fingerprint);
     this.crashDetector = new CrashDetector(gateway, fingerprint);
     this.pauseTolerance = new PauseTolerance(gateway, history);
     this.buffer = new ResponseBuffer(gateway.responseMemory());
@@ -108,35 +106,14 @@
       return;
     }
     timer = gateway.vertx().setTimer(leftMs, fired -> handleTimeout());
-    if (gateway.crashQuarantine().isQuarantined(fingerprint)) {
-      refuse(UNAVAILABLE, "request crashed endpoints", 0);
-      return;
-    }
-    if (isStream()) {
-      gateway.serviceVersions().observeChanges();
-    }
-    if (isStream() && stream.isResumption()) {
-      stream.bindResumed().onSuccess(this::resume);
-    } else {
-      begin();
-    }
-  }
-
-  private void resume(boolean isVersionKnown) {
-    if (isVersionKnown && stream.hasEndpoint()) {
-      begin();
-    } else {
-      String reason =
-          isVersionKnown
-              ? "no endpoint of the stream's version"
-              : "version of the resumed stream not known";
-      refuse(UNAVAILABLE, reason, RETRY_AFTER_MS);
-    }
+    admission.admit().onSuccess(this::dispatchOrRefuse);
   }
 
-  private void begin() {
-    if (isStream() && reservation.isNeeded()) {
-      reserve();
+  private void dispatchOrRefuse(Optional<RequestAdmission.Refusal> refusal) {
+    if (finished) {
+      settle();
+    } else if (refusal.isPresent()) {
+      refuse(refusal.get().status(), refusal.get().reason(), refusal.get().retryAfterMs());
     } else {
       dispatch();
     }
@@ -349,27 +326,6 @@
     }
   }
 
-  private void reserve() {
-    reservation
-        .reserve()
-        .onSuccess(
-            verdict -> {
-              switch (verdict) {
-                case GRANTED -> dispatchOrSettle();
-                case EXHAUSTED -> refuse(PAYMENT_REQUIRED, "token budget spent", 0);
-                default -> refuse(UNAVAILABLE, "token budget not known", RETRY_AFTER_MS);
-              }
-            });
-  }
-
-  private void dispatchOrSettle() {
-    if (finished) {
-      settle();
-    } else {
-      dispatch();
-    }
-  }
-
   private void dispatch() {
     if (finished) {
       return;
@@ -522,7 +478,12 @@
     MultiMap headers = MultiMap.caseInsensitiveMultiMap();
     long leftMs = Math.max(1, deadlineMs - now());
     RequestHeaderCodec.encode(
-        request.headers(), headers, connection.endpoint(), leftMs, eventSplitter.lastId());
+        request.headers(),
+        headers,
+        connection.endpoint(),
+        leftMs,
+        eventSplitter.lastId(),
+        request.identity());
     log.logSent(connection, history.attempts(), leftMs, eventSplitter.lastId());
     log.recordMove(connection.endpoint(), history);
     RequestAttempt attempt =
@@ -584,9 +545,7 @@
   }
 
   private void settle() {
-    Optional<ServiceSpec> spec =
-        gateway.routingState().table().flatMap(table -> table.service(service));
-    reservation.settle(spec.map(ServiceSpec::tokensPerEvent).orElse(0), eventSplitter.eventCount());
+    admission.settle(service, eventSplitter.eventCount());
   }
 
   @Override
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
@@ -32,6 +32,7 @@
  * @param responseMemory limits the memory of incomplete responses
  * @param budgets the token budgets of programs
  * @param crashQuarantine quarantines requests that crash endpoints
+ * @param keys authorizes requests by their keys
  * @param log the decision log
  * @param metrics counters and histograms
  */
@@ -56,5 +57,6 @@
     ResponseMemoryLimiter responseMemory,
     TokenBudgets budgets,
     CrashQuarantine crashQuarantine,
+    KeyAuthorizer keys,
     DecisionLog log,
     GatewayMetrics metrics) {}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -285,6 +285,7 @@
         new ResponseMemoryLimiter(),
         allowances,
         crashQuarantine,
+        new KeyAuthorizer(settings.configLimitMs(), settings.keyRevocation()),
         log,
         metrics);
   }
@@ -362,6 +363,7 @@
     StoreTail endpoints =
         startTail(
             StoreClient.ENDPOINT_TOPIC, endpointTiming, routingStateUpdater.endpointListener());
+    gateway.keys().setUnconfirmedMs(config::unconfirmedMs);
     routingStateOutdated = () -> config.isBehind() || endpoints.isBehind();
     streamVersions.setEndpointRefresh(
         () -> endpoints.refresh().onSuccess(read -> serviceVersionLog.observeChanges()));
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingState.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingState.java
@@ -20,7 +20,7 @@
     return table;
   }
 
-  /** Returns the configuration in the encoding in which the operator published it. */
+  /** Returns the configuration as the operator published it, with key hashes in place of keys. */
   byte[] tableBytes() {
     return tableBytes.clone();
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RoutingStateUpdater.java
@@ -84,7 +84,7 @@
   void applyConfiguration(byte[] value, String source) {
     try {
       RoutingTable table = RoutingTableDecoder.decode(value);
-      if (routingState.applyTableIfNewer(table, value)) {
+      if (routingState.applyTableIfNewer(table, RoutingTableDecoder.withKeyHashes(value))) {
         log.line("config_applied").put("version", table.version()).put("source", source).write();
       }
     } catch (PlatformFormatException | RuntimeException e) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/StoreTail.java
@@ -26,6 +26,7 @@
   private long nextOffset = -1;
   private long retryMs = FIRST_RETRY_MS;
   private long failingSinceMs = Long.MAX_VALUE;
+  private long confirmedAtMs = Long.MIN_VALUE / 2;
 
   /**
    * Timing of the reads.
@@ -156,7 +157,13 @@
     return failingSinceMs != Long.MAX_VALUE && health.nowMs() - failingSinceMs >= BEHIND_AFTER_MS;
   }
 
+  /** Returns the time since the store last showed that this tail has read all records. */
+  long unconfirmedMs() {
+    return health.nowMs() - confirmedAtMs;
+  }
+
   private void recordSuccess() {
+    confirmedAtMs = health.nowMs();
     failingSinceMs = Long.MAX_VALUE;
     retryMs = FIRST_RETRY_MS;
     health.recordSuccess();
