--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -5,9 +5,6 @@
 import io.magnoliaroute.standin.users.StandinConfiguration;
 import io.magnoliaroute.standin.users.StandinEndpoint;
 import io.magnoliaroute.standin.users.StandinStore;
-import io.magnoliaroute.wire.FrameReader;
-import io.magnoliaroute.wire.MessageCodec;
-import io.magnoliaroute.wire.PeerMessage;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
@@ -100,6 +97,11 @@
     store.put("keyed.op", "config", StandinConfiguration.json(version, extraPrefix));
   }
 
+  /** Returns a peer of the VM that is not a VM itself. */
+  TestPeer peer() {
+    return new TestPeer(vertx, vm.peerPort());
+  }
+
   /** Starts a third endpoint. */
   void startThirdEndpoint() {
     Await.result(thirdEndpoint.start());
@@ -160,22 +162,6 @@
     awaitUsableEndpoints(1);
   }
 
-  /** Sends a message to the VM as a peer and returns whether the VM closes the connection. */
-  boolean closesPeerThatSends(PeerMessage message) {
-    Promise<Boolean> closed = Promise.promise();
-    vertx
-        .createNetClient()
-        .connect(vm.peerPort(), "127.0.0.1")
-        .onFailure(closed::tryFail)
-        .onSuccess(
-            socket -> {
-              socket.closeHandler(end -> closed.tryComplete(true));
-              socket.write(FrameReader.prependLength(new MessageCodec().encode(message)));
-            });
-    vertx.setTimer(2_000, fired -> closed.tryComplete(false));
-    return Await.result(closed.future());
-  }
-
   /** Replaces the listed endpoints by one that responds as the script defines. */
   RawEndpoint startScriptedEndpoint(RawEndpoint.Script script) {
     return startScriptedEndpoint(script, false);
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/MalformedInputTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/MalformedInputTest.java
@@ -32,8 +32,8 @@
   @Test
   @DisplayName("closes the connection of a peer that sends an invalid name, and continues to serve")
   void malformedPeerMessage() {
-    assertTrue(environment.closesPeerThatSends(new PeerMessage.EndpointUnreachable(null)));
-    assertTrue(environment.closesPeerThatSends(new PeerMessage.OutcomeReport("", List.of())));
+    assertTrue(environment.peer().isClosedAfter(new PeerMessage.EndpointUnreachable(null)));
+    assertTrue(environment.peer().isClosedAfter(new PeerMessage.OutcomeReport("", List.of())));
 
     assertEquals(200, environment.call("GET", "/safe/x", Map.of()).status());
   }
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
@@ -19,6 +19,8 @@
   private static final int SLOW_TIMEOUT_MS = 4_000;
   private static final int STREAM_TIMEOUT_MS = 4_000;
 
+  private static final String BRIEF = "\"path_prefix\":\"/brief/\"";
+
   private StandinConfiguration() {}
 
   /**
@@ -43,6 +45,20 @@
         .formatted(version, String.join(",", routes), SERVICE, MAX_CONNECTIONS);
   }
 
+  /**
+   * Returns a configuration with workspaces, in which the route {@code /brief/} is public.
+   *
+   * @param version the version of the configuration
+   * @param workspaces the JSON objects of the workspaces
+   */
+  public static String jsonWithWorkspaces(long version, String... workspaces) {
+    String plain = json(version, "/other/");
+    return plain.substring(0, plain.length() - 1).replace(BRIEF, BRIEF + ",\"public\":true")
+        + ",\"tenants\":["
+        + String.join(",", workspaces)
+        + "]}";
+  }
+
   private static String route(
       String name, String prefix, String kind, int timeoutMs, boolean canResume) {
     return ("{\"name\":\"%s\",\"host\":\"%s\",\"path_prefix\":\"%s\",\"kind\":\"%s\","
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -1,6 +1,7 @@
 package io.magnoliaroute.standin.users;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -41,6 +42,7 @@
   private final Deque<Behaviour> nextBehaviours = new ArrayDeque<>();
   private final List<String> executedRequestIds = new ArrayList<>();
   private final List<String> receivedDeadlines = new ArrayList<>();
+  private MultiMap lastHeaders = MultiMap.caseInsensitiveMultiMap();
   private HttpServer server;
   private int port;
   private int abortedRequests;
@@ -177,6 +179,11 @@
     return List.copyOf(receivedDeadlines);
   }
 
+  /** Returns the headers of the last request that has started to run. */
+  public synchronized MultiMap lastHeaders() {
+    return MultiMap.caseInsensitiveMultiMap().setAll(lastHeaders);
+  }
+
   /** Returns the number of hanging requests whose connection was closed. */
   public synchronized int abortedRequests() {
     return abortedRequests;
@@ -210,6 +217,7 @@
       return;
     }
     executedRequestIds.add(request.getHeader("X-Request-Id"));
+    lastHeaders = request.headers();
     response.putHeader(
         "X-Request-Id",
         behaviour == Behaviour.FOREIGN_ID ? "other" : request.getHeader("X-Request-Id"));
