Take responses with an invalid status, and responses to unread uploads, for broken ones

Cause: a status such as 000, 20 or 600 was forwarded as the endpoint's response. An upload counted as written once it was in the send buffer of the socket, which grows to some megabytes, so that the end of a response without a length counted as its end although the endpoint had not read the upload and reset the connection a moment later. On stream routes the client's response began with the head of the endpoint's, so that a stream that broke off before its first event could no longer be answered with 502.

Change: a status outside of 100 to 599 breaks the attempt; it is no failure of the request, so that a request that may be repeated is. The send buffer to endpoints is limited to 64 KiB, also at relays, and a relay confirms the end of a response only if all bytes for the endpoint have been written. The response to a stream begins with its first complete event.

Not covered: an upload that fits into the receive buffer of the endpoint and 64 KiB; nothing tells whether the endpoint has read it.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/EndpointConnectionPool.java
@@ -43,6 +43,13 @@
 
   private static final int MAX_HEADER_BYTES = 65_536;
 
+  /**
+   * Size of the send buffer. A request counts as written once it is in this buffer, so that without
+   * a limit an upload of some megabytes would count as written while the endpoint has read none of
+   * it.
+   */
+  static final int SEND_BUFFER_BYTES = 65_536;
+
   private final HttpClientAgent client;
   private final InstantSource clock;
   private final Map<EndpointId, Pool> pools = new HashMap<>();
@@ -89,6 +96,7 @@
             new HttpClientOptions()
                 .setConnectTimeout(CONNECT_TIMEOUT_MS)
                 .setTcpNoDelay(true)
+                .setSendBufferSize(SEND_BUFFER_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxInitialLineLength(MAX_HEADER_BYTES)
                 .setKeepAlive(true)
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -72,6 +72,7 @@
   private MultiMap responseHeaders;
   private long timer;
   private boolean clientDisconnected;
+  private boolean streaming;
   private boolean finished;
 
   Exchange(
@@ -160,8 +161,9 @@
       return;
     }
     attempts.select(attempt);
+    streaming = isStream() && head.isSuccess() && head.isEventStream();
     if (response.isStarted()) {
-      if (!head.isSuccess() || !head.isEventStream()) {
+      if (!streaming) {
         attempt.cancel();
         finish("resume_refused", head.status());
       }
@@ -169,14 +171,11 @@
     }
     responseHead = head;
     responseHeaders = headers;
-    if (isStream() && head.isSuccess() && head.isEventStream()) {
-      response.start(head, headers);
-    }
   }
 
   @Override
   public void onBody(RequestAttempt attempt, Buffer bytes) {
-    if (!response.isStarted()) {
+    if (!streaming) {
       if (!buffer.append(bytes)) {
         attempt.fail(AttemptFailure.BROKEN, "response body exceeds the buffer limit");
       }
@@ -196,6 +195,7 @@
     if (completeEvents.length() == 0) {
       return;
     }
+    response.start(responseHead, responseHeaders);
     stream.bindTo(attempt.endpoint());
     attempt.recordProgress(eventSplitter.eventCount());
     if (!response.write(completeEvents)) {
@@ -215,7 +215,7 @@
 
   @Override
   public void onCompleted(RequestAttempt attempt) {
-    if (response.isStarted() && eventSplitter.hasPartialEvent()) {
+    if (streaming && eventSplitter.hasPartialEvent()) {
       onFailed(attempt, AttemptFailure.BROKEN, "stream ended inside an event");
       return;
     }
@@ -226,10 +226,11 @@
     gateway.crashQuarantine().recordCompletion(fingerprint);
     gateway.serviceTimes().recordDuration(service, now() - attempt.sentAtMs());
     gateway.prefixCache().recordProcessed(request.metadata().prefix(), attempt.endpoint());
-    if (!response.isStarted()) {
-      response.writeComplete(responseHead, responseHeaders, buffer.body());
-    } else {
+    if (streaming) {
+      response.start(responseHead, responseHeaders);
       response.end();
+    } else {
+      response.writeComplete(responseHead, responseHeaders, buffer.body());
     }
     finish("answered", responseHead.status());
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAttempt.java
@@ -247,6 +247,10 @@
     if (finished) {
       return;
     }
+    if (!ResponseHead.isValidStatus(received.statusCode())) {
+      fail(AttemptFailure.BROKEN, "status " + received.statusCode() + " is not valid");
+      return;
+    }
     response = received;
     responseHead = ResponseHead.decode(received.statusCode(), received.headers());
     recordReceipt();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ResponseStart.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ResponseStart.java
@@ -88,7 +88,8 @@
     return switch (matcher.group(1)) {
       case "1" -> State.INTERIM_HEAD;
       case "2" -> State.SUCCESS;
-      default -> State.FAILURE;
+      case "3", "4", "5" -> State.FAILURE;
+      default -> State.NO_RESPONSE;
     };
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TunnelServer.java
@@ -65,7 +65,8 @@
         vertx.createNetClient(
             new NetClientOptions()
                 .setConnectTimeout(EndpointConnectionPool.CONNECT_TIMEOUT_MS)
-                .setTcpNoDelay(true));
+                .setTcpNoDelay(true)
+                .setSendBufferSize(EndpointConnectionPool.SEND_BUFFER_BYTES));
   }
 
   /**
@@ -168,6 +169,7 @@
     private NetSocket endpoint;
     private long lastActiveAtMs;
     private boolean callerClosed;
+    private int pendingWrites;
 
     Tunnel(NetSocket caller) {
       this.caller = caller;
@@ -202,7 +204,8 @@
           });
       endpoint.endHandler(
           ended -> {
-            recordEnd(callerAddress, true);
+            // Unless the endpoint has been sent all bytes, it may not have read the whole request.
+            recordEnd(callerAddress, pendingWrites == 0);
             caller.end();
           });
       caller.write(TunnelRequest.reply(true));
@@ -215,7 +218,11 @@
       from.handler(
           bytes -> {
             lastActiveAtMs = clock.millis();
-            to.write(bytes).onFailure(e -> recordEnd(callerAddress, false));
+            boolean toEndpoint = to == endpoint;
+            pendingWrites += toEndpoint ? 1 : 0;
+            to.write(bytes)
+                .onSuccess(written -> pendingWrites -= toEndpoint ? 1 : 0)
+                .onFailure(e -> recordEnd(callerAddress, false));
             if (to.writeQueueFull()) {
               from.pause();
               to.drainHandler(drained -> from.resume());
