Check a routing configuration before it is published

Cause: mistakes in a configuration, such as a route behind another of the same host and prefix, show only once it is in force, and nothing lists what a new version changes.

Change: config check-routing reports errors, entries that can never match, limits that contradict each other and, with --in-force, the differences from that version.

--- a/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/CommandLineTool.java
+++ b/magnoliaroute-cli/src/main/java/io/magnoliaroute/cli/CommandLineTool.java
@@ -24,6 +24,7 @@
           description = "Checks, publishes and shows settings",
           commands = {
             ConfigCheckCommand.class,
+            ConfigCheckRoutingCommand.class,
             ConfigPublishCommand.class,
             ConfigShowCommand.class,
             ConfigHistoryCommand.class
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RoutingTable.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RoutingTable.java
@@ -13,6 +13,7 @@
 public final class RoutingTable {
 
   private final long version;
+  private final List<Route> routes;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services;
   private final ClientLimits limits;
@@ -36,6 +37,7 @@
       ClientLimits limits,
       Optional<WorkspaceDirectory> workspaces) {
     this.version = version;
+    this.routes = List.copyOf(routes);
     this.services = Map.copyOf(services);
     this.limits = limits;
     this.workspaces = workspaces;
@@ -52,6 +54,16 @@
     return version;
   }
 
+  /** Returns all routes in the order of the configuration. */
+  public List<Route> routes() {
+    return routes;
+  }
+
+  /** Returns the services by name. */
+  public Map<String, ServiceSpec> services() {
+    return services;
+  }
+
   /** Returns the limits for client requests. */
   public ClientLimits limits() {
     return limits;
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/workspace/WorkspaceDirectory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/workspace/WorkspaceDirectory.java
@@ -1,15 +1,18 @@
 package io.magnoliaroute.core.gateway.workspace;
 
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** The workspaces of one configuration version, by key and by name. */
 public final class WorkspaceDirectory {
 
   private final Map<BearerKeyHash, Workspace> byKey;
-  private final Map<String, Workspace> byName = new HashMap<>();
+  private final Map<String, Workspace> byName = new TreeMap<>();
 
   /**
    * Creates the directory of a configuration version.
@@ -22,6 +25,19 @@
     workspaces.forEach(workspace -> byName.put(workspace.name(), workspace));
   }
 
+  /** Returns all workspaces, also those without a key. */
+  public Collection<Workspace> workspaces() {
+    return List.copyOf(byName.values());
+  }
+
+  /** Returns the hashes of the keys that a workspace holds. */
+  public Set<BearerKeyHash> keysOf(Workspace workspace) {
+    return byKey.entrySet().stream()
+        .filter(entry -> entry.getValue().equals(workspace))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Returns the workspace that holds a key. */
   public Optional<Workspace> findByKey(BearerKeyHash key) {
     return Optional.ofNullable(byKey.get(key));
