--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/quota/VmReachability.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/quota/VmReachability.java
@@ -16,7 +16,7 @@
  * <p>A VM that issues permits queries every other VM at least once a second, and some VM of each
  * data centre every 250 ms. Silence of a whole data centre is therefore noticed within {@link
  * #REGION_SILENT_MS} of the partition; it is computed at each decision, not by a timer. VMs that
- * issue nothing query only those that have not replied.
+ * issue nothing query only those that have not replied yet, or not to their last question.
  */
 public final class VmReachability {
 
@@ -304,7 +304,7 @@
   public List<VmId> queriesDue(long nowMs) {
     List<VmId> due = new ArrayList<>();
     for (Peer peer : peers.values()) {
-      boolean needed = mode == Mode.ALL || peer.suspect || peer.ended || peer.lost;
+      boolean needed = mode == Mode.ALL || peer.suspect || peer.ended || !peer.confirmed;
       if (needed && nowMs - peer.queriedAtMs >= peer.region.queryIntervalMs()) {
         // The first queries go to all VMs at once; later ones are spread over the interval.
         boolean first = peer.queriedAtMs < 0;
--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/quota/WorkspacePermitIssuer.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/quota/WorkspacePermitIssuer.java
@@ -29,9 +29,9 @@
   /**
    * Time beyond {@link #QUIET_MS} for which a new issuer grants permits in advance, so that the
    * requests that arrive in its quiet time wait instead of being refused. If the previous issuer
-   * was only slow, these permits exceed the quota: 0.3 s of the rate, or two permits.
+   * was only slow, these permits exceed the quota: 0.4 s of the rate, or two permits.
    */
-  static final long ADVANCE_MS = 300;
+  static final long ADVANCE_MS = 400;
 
   private static final double ADVANCE_PERMITS = 2;
   private static final long MAX_ADVANCE_MS = 800;
