--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -74,6 +74,7 @@
   private boolean clientDisconnected;
   private boolean streaming;
   private boolean finished;
+  private boolean sent;
 
   Exchange(
       GatewayContext gateway, ClientRequest request, ClientResponse response, Runnable onFinished) {
@@ -357,6 +358,10 @@
   }
 
   private void connectWithPermit(EndpointEntry endpoint, boolean newConnection, long maxDelayMs) {
+    if (!sent && admission.isPermitOutdated()) {
+      admission.renewPermit().onSuccess(this::dispatchOrRefuse);
+      return;
+    }
     gateway
         .requestPermits()
         .acquire(endpoint, maxDelayMs)
@@ -490,6 +495,7 @@
     RequestAttempt attempt =
         new RequestAttempt(gateway, connection, this, request.metadata().requestId());
     attempts.add(attempt);
+    sent = true;
     attempt.start(
         new RequestAttempt.OutboundRequest(
             request.method(),
@@ -546,7 +552,7 @@
   }
 
   private void settle() {
-    admission.settle(service, eventSplitter.eventCount());
+    admission.settle(service, eventSplitter.eventCount(), sent);
   }
 
   @Override
