Keep the turns of routes with server history, and assemble their chains

Cause: on such a route a turn carries only its new input, and the endpoint has to get the whole chain. Nothing kept it.

Change: `core.gateway.history` has the records, their keys and partitions, the chain, the data of events, the home VMs, the index of a partition and the proof that a turn does not exist. In the daemon, `TurnKeeper` keeps a record in the store or at two home VMs before the response ends, `TurnWriter` appends within a quarter of the store's write rate, `TurnPartition` reads a partition, `TurnLookup` finds a chain or proves its absence, `ExchangeTurn` joins them to a request.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RoutingTable.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RoutingTable.java
@@ -62,6 +62,17 @@
     return workspaces;
   }
 
+  /** Returns the longest time for which a route's turns are kept; 0 if no route keeps any. */
+  public long maxHistoryRetentionMs() {
+    long maxMs = 0;
+    for (List<Route> routes : routesByHost.values()) {
+      for (Route route : routes) {
+        maxMs = Math.max(maxMs, route.historyRetentionMs());
+      }
+    }
+    return maxMs;
+  }
+
   /** Returns the service with the given name. */
   public Optional<ServiceSpec> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ClientServer.java
@@ -94,6 +94,7 @@
     this.requestMemory =
         new ReceiveMemoryLimiter(
             memoryBytes, (long) ((1 - SMALL_REQUEST_SHARE) * memoryBytes), gateway.clock());
+    gateway.turnHistory().setRequestMemory(requestMemory);
   }
 
   Future<HttpServer> listen(HostPort address) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -66,6 +66,7 @@
   private final Runnable onFinished;
   private final OpenAttempts attempts = new OpenAttempts();
   private final ResponseBuffer buffer;
+  private final ExchangeTurn turn;
   private final EventStreamSplitter eventSplitter = new EventStreamSplitter(MAX_EVENT_BYTES);
   private final long deadlineMs;
   private ResponseHead responseHead;
@@ -92,7 +93,8 @@
     this.fingerprint =
         Fingerprint.ofServiceCall(
             request.uri(), request.method().name(), request.body().toString("ISO-8859-1"));
-    this.admission = new RequestAdmission(gateway, request, stream, fingerprint);
+    this.turn = new ExchangeTurn(gateway, request);
+    this.admission = new RequestAdmission(gateway, request, stream, fingerprint, turn);
     this.crashDetector = new CrashDetector(gateway, fingerprint);
     this.pauseTolerance = new PauseTolerance(gateway, history);
     this.buffer = new ResponseBuffer(gateway.responseMemory());
@@ -198,6 +200,7 @@
     }
     stream.bindTo(attempt.endpoint());
     attempt.recordProgress(eventSplitter.eventCount());
+    turn.collect(completeEvents);
     if (!response.write(completeEvents)) {
       attempt.pause();
       response.onWritable(attempt::resume);
@@ -228,12 +231,25 @@
     gateway.prefixCache().recordProcessed(request.metadata().prefix(), attempt.endpoint());
     if (!response.isStarted()) {
       response.writeComplete(responseHead, responseHeaders, buffer.body());
+    } else if (turn.isKept() && !clientDisconnected) {
+      attempts.cancel();
+      gateway.vertx().cancelTimer(timer);
+      turn.keep().onComplete(kept -> endKept(kept.succeeded()));
+      return;
     } else {
       response.end();
     }
     finish("answered", responseHead.status());
   }
 
+  // A turn that is not kept must not look complete to its client, who would continue it.
+  private void endKept(boolean kept) {
+    if (kept && !finished) {
+      response.end();
+    }
+    finish(kept ? "answered" : "turn_not_kept", kept ? responseHead.status() : 0);
+  }
+
   @Override
   public void onFailed(RequestAttempt attempt, AttemptFailure failure, String cause) {
     EndpointEntry endpoint = attempt.endpoint();
@@ -494,7 +510,7 @@
             request.method(),
             request.uri(),
             headers,
-            request.body(),
+            turn.requestBody(),
             request.metadata().requestId()));
   }
 
@@ -536,6 +552,7 @@
     attempts.cancel();
     response.abort();
     buffer.clear();
+    turn.release();
     settle();
     gateway.metrics().countAnswered(status);
     gateway.metrics().recordDuration(request.route().name(), now() - request.arrivedMs());
--- /dev/null
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeTurn.java
@@ -0,0 +1,195 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.gateway.ReceiveMemoryLimiter;
+import io.magnoliaroute.core.gateway.history.EventDataCollector;
+import io.magnoliaroute.core.gateway.history.HistoryKeys;
+import io.magnoliaroute.core.gateway.history.KeptTurn;
+import io.magnoliaroute.core.gateway.history.SharedPrefix;
+import io.magnoliaroute.core.gateway.history.TurnChain;
+import io.magnoliaroute.core.gateway.workspace.Workspace;
+import io.magnoliaroute.core.model.Bytes;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The turn of one request on a route whose turns the system keeps: the chain that it continues, and
+ * its output so far. On other routes, it has no effect. Confined to one event loop.
+ */
+final class ExchangeTurn {
+
+  private static final int NOT_FOUND = 404;
+  private static final int TOO_LARGE = 413;
+  private static final int UNAVAILABLE = 503;
+
+  /** The store accepts records of 262,144 bytes, which hold the input and the output of a turn. */
+  private static final int MAX_INPUT_BYTES = 131_072;
+
+  private static final int MAX_OUTPUT_BYTES = 98_304;
+
+  /**
+   * Limit of the turns of a chain: the record of the last one names all others, with ids of usual
+   * length in less than 16 kB.
+   */
+  private static final int MAX_TURNS = 256;
+
+  private final GatewayContext gateway;
+  private final ClientRequest request;
+  private final boolean kept;
+  private final ResponseBuffer output;
+  private Optional<ReceiveMemoryLimiter.Message> bodyMemory = Optional.empty();
+  private Optional<TurnChain> chain = Optional.empty();
+  private Optional<String> sharedPart = Optional.empty();
+  private int sharedBytes;
+  private Buffer requestBody;
+  private boolean outputTooLarge;
+
+  ExchangeTurn(GatewayContext gateway, ClientRequest request) {
+    this.gateway = gateway;
+    this.request = request;
+    this.kept = request.route().keepsHistory() && request.route().kind().isStream();
+    this.output = new ResponseBuffer(gateway.responseMemory());
+    this.requestBody = request.body();
+  }
+
+  /** Returns whether the system keeps the turn. */
+  boolean isKept() {
+    return kept;
+  }
+
+  /** Returns the body that endpoints get: the chain and the new input. */
+  Buffer requestBody() {
+    return requestBody;
+  }
+
+  /** Looks up the chain; completes with the reason why the request may not run, if any. */
+  Future<Optional<RequestAdmission.Refusal>> lookUp() {
+    if (request.body().length() > MAX_INPUT_BYTES) {
+      return refused(TOO_LARGE, "input of a kept turn exceeds " + MAX_INPUT_BYTES + " bytes", 0);
+    }
+    if (request.metadata().lastEventId().isPresent()) {
+      // The output before the resumption would be missing from the turn.
+      return refused(UNAVAILABLE, "begin of the resumed turn not known", Exchange.RETRY_AFTER_MS);
+    }
+    if (request.metadata().previousTurnId().isEmpty()) {
+      keepSharedPart();
+      return Future.succeededFuture(Optional.empty());
+    }
+    String key = HistoryKeys.ofTurn(workspaceName(), request.metadata().previousTurnId().get());
+    return gateway.turnHistory().lookup().find(key).compose(this::onLookup);
+  }
+
+  private Future<Optional<RequestAdmission.Refusal>> onLookup(TurnLookup.Result result) {
+    return switch (result.outcome()) {
+      case ABSENT -> refused(NOT_FOUND, "previous turn does not exist", 0);
+      case UNCERTAIN -> refused(UNAVAILABLE, "previous turn not known", Exchange.RETRY_AFTER_MS);
+      default -> assemble(result.chain().orElseThrow());
+    };
+  }
+
+  private Future<Optional<RequestAdmission.Refusal>> assemble(TurnChain found) {
+    if (found.turns().size() >= MAX_TURNS) {
+      return refused(TOO_LARGE, "chain exceeds " + MAX_TURNS + " turns", 0);
+    }
+    ReceiveMemoryLimiter.Message memory = gateway.turnHistory().beginBody();
+    memory.markComplete();
+    if (!memory.tryResize(found.sizeBytes() + request.body().length())) {
+      memory.release();
+      return refused(UNAVAILABLE, "request memory limit reached", Exchange.RETRY_AFTER_MS);
+    }
+    bodyMemory = Optional.of(memory);
+    chain = Optional.of(found);
+    requestBody = Buffer.buffer(found.assemble(request.body().getBytes()));
+    return Future.succeededFuture(Optional.empty());
+  }
+
+  // Only the first turn of a chain carries the shared part; the endpoint works meanwhile.
+  private void keepSharedPart() {
+    int bytes = SharedPrefix.sharedBytes(request.body().length(), request.metadata().prefix());
+    if (bytes > 0) {
+      sharedBytes = bytes;
+      Bytes content = Bytes.copyOf(request.body().getBytes(0, bytes));
+      sharedPart =
+          Optional.of(
+              gateway
+                  .turnHistory()
+                  .sharedParts()
+                  .ensureKept(content, request.route().historyRetentionMs()));
+    }
+  }
+
+  private static Future<Optional<RequestAdmission.Refusal>> refused(
+      int status, String reason, long retryAfterMs) {
+    return Future.succeededFuture(
+        Optional.of(new RequestAdmission.Refusal(status, reason, retryAfterMs)));
+  }
+
+  private Optional<String> workspaceName() {
+    return request.workspace().map(Workspace::name);
+  }
+
+  /** Collects the data of events that were forwarded to the client. */
+  void collect(Buffer events) {
+    if (!kept || outputTooLarge) {
+      return;
+    }
+    Buffer data = Buffer.buffer(EventDataCollector.dataOf(events.getBytes()));
+    outputTooLarge =
+        output.body().length() + data.length() > MAX_OUTPUT_BYTES || !output.append(data);
+  }
+
+  /** Keeps the turn, whose response is complete. Fails if it cannot be kept. */
+  Future<Void> keep() {
+    if (outputTooLarge) {
+      gateway
+          .log()
+          .line("turn_too_large")
+          .put("request", request.metadata().requestId())
+          .put("limit_bytes", MAX_OUTPUT_BYTES)
+          .write();
+      return Future.failedFuture("output of a kept turn exceeds the limit");
+    }
+    long nowMs = gateway.clock().millis();
+    TurnHistory history = gateway.turnHistory();
+    boolean refersToPart = sharedPart.isPresent() && history.sharedParts().isKept(sharedPart.get());
+    Buffer body = request.body();
+    byte[] input = refersToPart ? body.getBytes(sharedBytes, body.length()) : body.getBytes();
+    List<String> ancestors =
+        chain.map(TurnChain::newest).map(KeptTurn::withAncestors).orElse(List.of());
+    chain.ifPresent(found -> renew(found, nowMs));
+    return history
+        .keeper()
+        .keep(
+            new KeptTurn(
+                request.metadata().requestId(),
+                workspaceName(),
+                ancestors,
+                refersToPart ? sharedPart : Optional.empty(),
+                Bytes.copyOf(input),
+                Bytes.copyOf(output.body().getBytes()),
+                nowMs,
+                request.route().historyRetentionMs(),
+                history.ownName()));
+  }
+
+  private void renew(TurnChain found, long nowMs) {
+    TurnHistory history = gateway.turnHistory();
+    for (KeptTurn ancestor : found.turns()) {
+      if (ancestor.needsRenewal(nowMs)) {
+        history.keeper().keep(ancestor.renewed(nowMs));
+        found.parts().stream()
+            .filter(part -> ancestor.sharedPart().equals(Optional.of(part.key())))
+            .forEach(part -> history.sharedParts().ensureKept(part.content(), part.retentionMs()));
+      }
+    }
+  }
+
+  /** Releases the memory of the assembled body and of the output. */
+  void release() {
+    bodyMemory.ifPresent(ReceiveMemoryLimiter.Message::release);
+    bodyMemory = Optional.empty();
+    requestBody = Buffer.buffer();
+    output.clear();
+  }
+}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
@@ -33,6 +33,7 @@
  * @param budgets the token budgets of programs
  * @param crashQuarantine quarantines requests that crash endpoints
  * @param keys authorizes requests by their keys
+ * @param turnHistory the turns that the system keeps
  * @param log the decision log
  * @param metrics counters and histograms
  */
@@ -58,5 +59,6 @@
     TokenBudgets budgets,
     CrashQuarantine crashQuarantine,
     KeyAuthorizer keys,
+    TurnHistory turnHistory,
     DecisionLog log,
     GatewayMetrics metrics) {}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
@@ -36,6 +36,20 @@
     metrics.increment("turn_reservations", "verdict", verdict);
   }
 
+  /** Counts what happened to a kept turn, or where one was found. */
+  void countTurn(String result) {
+    metrics.increment("kept_turns", "result", result);
+  }
+
+  void countTurns(String result, long count) {
+    metrics.add("kept_turns", "result", result, count);
+  }
+
+  /** Counts bytes of records that were appended to the store. */
+  void countTurnBytes(long bytes) {
+    metrics.add("kept_turn_bytes", "direction", "appended", bytes);
+  }
+
   void count(String name) {
     metrics.increment(name);
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -111,6 +111,7 @@
   private final ServiceVersionLog serviceVersionLog;
   private final StreamVersions streamVersions;
   private final AllowanceService allowances;
+  private final TurnHistory turnHistory;
   private final GatewayContext gateway;
   private final ClientServer clientServer;
   private BooleanSupplier routingStateOutdated = () -> true;
@@ -153,6 +154,7 @@
     this.vmDirectory = new VmDirectory(self, store, clock, log);
     this.peers = new PeerConnections(vertx, clock, log, metrics, socketShare(PEER_SOCKET_SHARE));
     this.allowances = createAllowances(self);
+    this.turnHistory = createTurnHistory(self);
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock, log, metrics);
     EndpointLoadTracker loads = new EndpointLoadTracker();
     EndpointConnectionPool connections =
@@ -185,6 +187,7 @@
                 outcomeSharing,
                 requestPermits,
                 tunnelServer,
+                turnHistory,
                 clock::millis),
             random);
     crashQuarantine.setListener(peerMessageHandler::broadcastCrash);
@@ -228,6 +231,12 @@
         metrics);
   }
 
+  private TurnHistory createTurnHistory(VmEntry self) {
+    TurnContext context = new TurnContext(vertx, store, storeHealth, clock, log, metrics);
+    TurnPeers turnPeers = new TurnPeers(vertx, self, vmDirectory, peers);
+    return new TurnHistory(context, settings, routingState, turnPeers);
+  }
+
   private long storeAppendIntervalMs() {
     double appendsPerS = STORE_WRITE_SHARE * settings.storeWritesPerS() / vmDirectory.size();
     return (long) (1_000 / appendsPerS);
@@ -286,6 +295,7 @@
         allowances,
         crashQuarantine,
         new KeyAuthorizer(settings.configLimitMs(), settings.keyRevocation()),
+        turnHistory,
         log,
         metrics);
   }
@@ -407,6 +417,7 @@
     runTask("close idle tunnels", tunnelServer::closeIdle);
     runTask("remove unlisted endpoints", gateway.reachability()::removeUnlisted);
     runTask("maintain budgets", allowances::maintain);
+    runTask("maintain kept turns", turnHistory::maintain);
     runTask("maintain versions", serviceVersionLog::maintain);
     runTask("reconnect peers", peers::reconnectUnreachable);
     if (routingState.canRoute()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
@@ -285,6 +285,12 @@
     if (message instanceof PeerMessage.TunnelEndReply reply) {
       return reply.request();
     }
+    if (message instanceof PeerMessage.HistoryReply reply) {
+      return reply.request();
+    }
+    if (message instanceof PeerMessage.HistoryHandoverReply reply) {
+      return reply.request();
+    }
     return message instanceof PeerMessage.RoutingStateReply reply ? reply.request() : -1;
   }
 
@@ -304,6 +310,8 @@
               if (message instanceof PeerMessage.AllowanceRequest
                   || message instanceof PeerMessage.PermitRequest
                   || message instanceof PeerMessage.TunnelEndRequest
+                  || message instanceof PeerMessage.HistoryRequest
+                  || message instanceof PeerMessage.HistoryHandover
                   || message instanceof PeerMessage.RoutingStateRequest) {
                 handler
                     .onRequest(message)
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -43,6 +43,7 @@
   private final OutcomeSharing outcomeSharing;
   private final RequestPermits requestPermits;
   private final TunnelServer tunnelServer;
+  private final TurnHistory turnHistory;
   private final LongSupplier nowMs;
   private final RandomGenerator random;
   private boolean receivedPeerState;
@@ -62,6 +63,7 @@
       OutcomeSharing outcomeSharing,
       RequestPermits requestPermits,
       TunnelServer tunnelServer,
+      TurnHistory turnHistory,
       LongSupplier nowMs) {}
 
   PeerMessageHandler(PeerConnections peers, Dependencies dependencies, RandomGenerator random) {
@@ -78,6 +80,7 @@
     this.outcomeSharing = dependencies.outcomeSharing();
     this.requestPermits = dependencies.requestPermits();
     this.tunnelServer = dependencies.tunnelServer();
+    this.turnHistory = dependencies.turnHistory();
     this.nowMs = dependencies.nowMs();
     this.random = random;
   }
@@ -203,6 +206,12 @@
     if (request instanceof PeerMessage.TunnelEndRequest endRequest) {
       return Future.succeededFuture(tunnelServer.onRequest(endRequest));
     }
+    if (request instanceof PeerMessage.HistoryRequest historyRequest) {
+      return turnHistory.onRequest(historyRequest);
+    }
+    if (request instanceof PeerMessage.HistoryHandover handover) {
+      return Future.succeededFuture(turnHistory.onHandover(handover));
+    }
     PeerMessage.RoutingStateRequest stateRequest = (PeerMessage.RoutingStateRequest) request;
     return Future.succeededFuture(stateReply(stateRequest));
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
@@ -20,6 +20,7 @@
   private final ClientRequest request;
   private final StreamBinding stream;
   private final Fingerprint fingerprint;
+  private final ExchangeTurn turn;
   private final TurnReservation reservation;
 
   /**
@@ -34,11 +35,13 @@
       GatewayContext gateway,
       ClientRequest request,
       StreamBinding stream,
-      Fingerprint fingerprint) {
+      Fingerprint fingerprint,
+      ExchangeTurn turn) {
     this.gateway = gateway;
     this.request = request;
     this.stream = stream;
     this.fingerprint = fingerprint;
+    this.turn = turn;
     this.reservation = new TurnReservation(gateway.budgets(), request.metadata());
   }
 
@@ -53,7 +56,12 @@
     gateway.serviceVersions().observeChanges();
     Future<Optional<Refusal>> resumable =
         stream.isResumption() ? stream.bindResumed().compose(this::checkResumption) : ADMITTED;
-    return resumable.compose(
+    Future<Optional<Refusal>> continuable =
+        turn.isKept()
+            ? resumable.compose(
+                refusal -> refusal.isEmpty() ? turn.lookUp() : Future.succeededFuture(refusal))
+            : resumable;
+    return continuable.compose(
         refusal ->
             refusal.isEmpty() && reservation.isNeeded()
                 ? reserve()
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/metrics/DaemonMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/metrics/DaemonMetrics.java
@@ -40,6 +40,11 @@
     registry.counter(name + "{" + label + "=\"" + value + "\"}").inc();
   }
 
+  /** Adds to the counter with a label. */
+  public void add(String name, String label, String value, long count) {
+    registry.counter(name + "{" + label + "=\"" + value + "\"}").inc(count);
+  }
+
   /** Returns the value of a counter, or 0 if it was never incremented. */
   public long counterValue(String name) {
     Counter counter = registry.getCounters().get(name);
--- /dev/null
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsEnvironment.java
@@ -0,0 +1,172 @@
+package io.magnoliaroute.daemon.gateway;
+
+import io.magnoliaroute.core.settings.HostPort;
+import io.magnoliaroute.daemon.support.Await;
+import io.magnoliaroute.standin.users.StandinConfiguration;
+import io.magnoliaroute.standin.users.StandinEndpoint;
+import io.magnoliaroute.standin.users.StandinStore;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Several VMs with a store and one endpoint, on a route whose turns the system keeps. */
+final class KeptTurnsEnvironment {
+
+  /** The output that the endpoint's events add to a chain. */
+  static final String OUTPUT = output();
+
+  private static final int PARTITIONS = 2;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final TestHttpClient client = new TestHttpClient(vertx);
+  private final StandinStore store = new StandinStore(vertx);
+  private final StandinEndpoint endpoint = new StandinEndpoint(vertx, "e1");
+  private final int storePort;
+  private final List<Vm> vms = new ArrayList<>();
+
+  private static final class Vm {
+    private final Vertx runtime;
+    private final GatewayNode node;
+    private boolean ended;
+
+    Vm(Vertx runtime, GatewayNode node) {
+      this.runtime = runtime;
+      this.node = node;
+    }
+  }
+
+  /** Starts the given number of VMs, in two data centres, for the first time. */
+  KeptTurnsEnvironment(int count) {
+    storePort = Await.result(store.start());
+    Await.result(endpoint.start());
+    store.put("keyed.op", "config", StandinConfiguration.json(3, "/other/"));
+    store.put("keyed.servers", "e1", endpoint.entry("s", "ready", 1));
+    startVms(count, true);
+  }
+
+  private static String output() {
+    StringBuilder data = new StringBuilder();
+    for (int i = 1; i <= StandinEndpoint.EVENTS_PER_STREAM; i++) {
+      data.append("token ").append(i).append('\n');
+    }
+    return data.toString();
+  }
+
+  private void startVms(int count, boolean firstStart) {
+    List<HostPort> seeds = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      Vertx runtime = TestRuntime.singleLoopVertx();
+      TestVm options = new TestVm("vm-" + i, i % 2 == 0 ? "dc" : "dc2", storePort, seeds);
+      GatewayNode node = (firstStart ? options : options.asRestart()).start(runtime);
+      vms.add(new Vm(runtime, node));
+      seeds.add(new HostPort("127.0.0.1", node.peerPort()));
+    }
+    for (Vm each : vms) {
+      Await.until(
+          "the VM is ready",
+          () -> each.ended || TestRuntime.read(each.runtime, each.node::isReady));
+      Await.until(
+          "all VMs know each other",
+          () -> each.ended || TestRuntime.read(each.runtime, each.node::knownVms) >= count);
+    }
+  }
+
+  StandinStore store() {
+    return store;
+  }
+
+  StandinEndpoint endpoint() {
+    return endpoint;
+  }
+
+  /** Kills all VMs, so that only the store keeps state, and starts as many again. */
+  void restartAll() {
+    int count = vms.size();
+    for (int i = 0; i < count; i++) {
+      kill(i);
+    }
+    vms.clear();
+    startVms(count, false);
+  }
+
+  /** Ends a VM without a graceful shutdown. */
+  void kill(int vm) {
+    if (!vms.get(vm).ended) {
+      vms.get(vm).ended = true;
+      Await.result(vms.get(vm).runtime.close());
+    }
+  }
+
+  /** Sends a turn without a predecessor. */
+  int send(int vm, String turnId, String input) {
+    return send(vm, turnId, input, Map.of());
+  }
+
+  /** Sends a turn that continues another one. */
+  int sendAfter(int vm, String turnId, String previousTurn, String input) {
+    return send(vm, turnId, input, Map.of("X-Previous-Turn", previousTurn));
+  }
+
+  /** Sends a turn and returns the status of its complete response; 0 if it was not complete. */
+  int send(int vm, String turnId, String input, Map<String, String> moreHeaders) {
+    return Await.result(begin(vm, turnId, input, moreHeaders).otherwise(0));
+  }
+
+  Future<Integer> begin(int vm, String turnId, String input, Map<String, String> moreHeaders) {
+    Map<String, String> headers = new HashMap<>(moreHeaders);
+    headers.put("Host", "h");
+    headers.put("X-Request-Id", turnId);
+    return client
+        .send(
+            vms.get(vm).node.clientPort(),
+            HttpMethod.POST,
+            "/keptstream/x",
+            headers,
+            Buffer.buffer(input))
+        .map(GatewayTestEnvironment.Response::status);
+  }
+
+  /** Returns the bodies that the endpoint received for a turn, one for each attempt. */
+  List<String> bodiesOf(String turnId) {
+    return endpoint.receivedBodies().stream()
+        .filter(each -> each.requestId().equals(turnId))
+        .map(StandinEndpoint.ReceivedBody::body)
+        .toList();
+  }
+
+  int storedRecords() {
+    int count = 0;
+    for (int partition = 0; partition < PARTITIONS; partition++) {
+      count += store.recordCount(TurnWriter.TOPIC, partition);
+    }
+    return count;
+  }
+
+  /** Returns how often a result was counted at a VM. */
+  int counted(int vm, String result) {
+    String metrics =
+        Await.result(
+                client.send(vms.get(vm).node.readyPort(), HttpMethod.GET, "/metrics", Map.of()))
+            .body();
+    Matcher count = Pattern.compile("kept_turns\\S*\"" + result + "\"\\S* (\\d+)").matcher(metrics);
+    return count.results().mapToInt(each -> Integer.parseInt(each.group(1))).sum();
+  }
+
+  boolean seesStoreUnavailable(int vm) {
+    return TestRuntime.read(vms.get(vm).runtime, vms.get(vm).node::isStoreUnavailable);
+  }
+
+  void close() {
+    for (int i = 0; i < vms.size(); i++) {
+      kill(i);
+    }
+    Await.result(vertx.close());
+  }
+}
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestRuntime.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/TestRuntime.java
@@ -1,5 +1,6 @@
 package io.magnoliaroute.daemon.gateway;
 
+import io.magnoliaroute.daemon.support.Await;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -28,6 +29,11 @@
     return promise.future();
   }
 
+  /** Returns state of a VM as its event loop sees it. */
+  static <T> T read(Vertx runtime, Supplier<T> step) {
+    return Await.result(callOnContext(runtime, step));
+  }
+
   /** Blocks the only event loop of the runtime until the result runs. */
   static Runnable pause(Vertx runtime) {
     CountDownLatch wake = new CountDownLatch(1);
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
@@ -14,6 +14,9 @@
   /** Maximum number of concurrent connections to an endpoint. */
   public static final int MAX_CONNECTIONS = 64;
 
+  /** Seconds for which the turns of the route {@code keptstream} are kept. */
+  public static final int KEEP_S = 60;
+
   private static final int DEFAULT_TIMEOUT_MS = 2_000;
   private static final int BRIEF_TIMEOUT_MS = 200;
   private static final int SLOW_TIMEOUT_MS = 4_000;
@@ -28,6 +31,20 @@
    * @param extraPrefix the path prefix of an additional route for idempotent requests
    */
   public static String json(long version, String extraPrefix) {
+    return json(version, extraPrefix, "");
+  }
+
+  /**
+   * Returns the configuration with two workspaces, {@code red} and {@code blue}, each with a key of
+   * the same name.
+   */
+  public static String jsonWithWorkspaces(long version) {
+    String workspaces =
+        "{\"name\":\"red\",\"api_keys\":[\"red\"]},{\"name\":\"blue\",\"api_keys\":[\"blue\"]}";
+    return json(version, "/other/", ",\"tenants\":[" + workspaces + "]");
+  }
+
+  private static String json(long version, String extraPrefix, String moreFields) {
     List<String> routes =
         List.of(
             route("safe", "/safe/", "safe", DEFAULT_TIMEOUT_MS, false),
@@ -36,11 +53,18 @@
             route("slow", "/slow/", "safe", SLOW_TIMEOUT_MS, false),
             route("unsafe", "/unsafe/", "unsafe", DEFAULT_TIMEOUT_MS, false),
             route("stream", "/stream/", "stream", STREAM_TIMEOUT_MS, true),
-            route("plainstream", "/plainstream/", "stream", STREAM_TIMEOUT_MS, false));
+            route("plainstream", "/plainstream/", "stream", STREAM_TIMEOUT_MS, false),
+            keptRoute("keptstream", "/keptstream/"));
     return ("{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"%s\","
             + "\"health_path\":\"/h\",\"max_conns\":%d,"
-            + "\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]}")
-        .formatted(version, String.join(",", routes), SERVICE, MAX_CONNECTIONS);
+            + "\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]%s}")
+        .formatted(version, String.join(",", routes), SERVICE, MAX_CONNECTIONS, moreFields);
+  }
+
+  private static String keptRoute(String name, String prefix) {
+    String route = route(name, prefix, "stream", STREAM_TIMEOUT_MS, true);
+    return route.substring(0, route.length() - 1)
+        + ",\"server_history\":true,\"keep_s\":%d}".formatted(KEEP_S);
   }
 
   private static String route(
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -41,6 +42,7 @@
   private final Deque<Behaviour> nextBehaviours = new ArrayDeque<>();
   private final List<String> executedRequestIds = new ArrayList<>();
   private final List<String> receivedDeadlines = new ArrayList<>();
+  private final List<ReceivedBody> receivedBodies = new ArrayList<>();
   private HttpServer server;
   private int port;
   private int abortedRequests;
@@ -177,6 +179,14 @@
     return List.copyOf(receivedDeadlines);
   }
 
+  /** The body of a request as the endpoint received it. */
+  public record ReceivedBody(String requestId, String body) {}
+
+  /** Returns the bodies of all received requests, in order of arrival. */
+  public synchronized List<ReceivedBody> receivedBodies() {
+    return List.copyOf(receivedBodies);
+  }
+
   /** Returns the number of hanging requests whose connection was closed. */
   public synchronized int abortedRequests() {
     return abortedRequests;
@@ -187,7 +197,11 @@
   }
 
   private void handle(HttpServerRequest request) {
-    request.body().onSuccess(body -> respond(request));
+    request.body().onSuccess(body -> record(request, body)).onSuccess(body -> respond(request));
+  }
+
+  private synchronized void record(HttpServerRequest request, Buffer body) {
+    receivedBodies.add(new ReceivedBody(request.getHeader("X-Request-Id"), body.toString()));
   }
 
   private synchronized void respond(HttpServerRequest request) {
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
@@ -45,7 +45,11 @@
   PERMIT_REPLY(53, PeerMessage.PermitReply.class),
   REQUEST_LIMIT(54, PeerMessage.RequestLimitNote.class),
   TUNNEL_END_REQUEST(55, PeerMessage.TunnelEndRequest.class),
-  TUNNEL_END_REPLY(56, PeerMessage.TunnelEndReply.class);
+  TUNNEL_END_REPLY(56, PeerMessage.TunnelEndReply.class),
+  HISTORY_REQUEST(60, PeerMessage.HistoryRequest.class),
+  HISTORY_REPLY(61, PeerMessage.HistoryReply.class),
+  HISTORY_HANDOVER(62, PeerMessage.HistoryHandover.class),
+  HISTORY_HANDOVER_REPLY(63, PeerMessage.HistoryHandoverReply.class);
 
   private static final Map<Integer, MessageType> BY_NUMBER =
       Stream.of(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -348,6 +348,62 @@
     }
   }
 
+  /**
+   * Requests records of kept turns.
+   *
+   * @param request the request number that matches the response; unique for the connection
+   * @param keys the keys of the records
+   * @param readsStore whether the receiver reads its partitions of the store for records that it
+   *     does not have in memory
+   */
+  record HistoryRequest(long request, List<String> keys, boolean readsStore)
+      implements PeerMessage {
+
+    /** Makes a defensive copy of the list. */
+    public HistoryRequest {
+      keys = List.copyOf(keys);
+    }
+  }
+
+  /**
+   * Responds to {@link HistoryRequest}.
+   *
+   * @param request the number of the request
+   * @param records the records that the sender has
+   * @param readToEnd whether the sender read the partitions of all keys to the end after it got the
+   *     request, so that the store has no other records of these keys
+   * @param knowsPast whether the sender has run for the whole retention period
+   */
+  record HistoryReply(long request, List<HistoryItem> records, boolean readToEnd, boolean knowsPast)
+      implements PeerMessage {
+
+    /** Makes a defensive copy of the list. */
+    public HistoryReply {
+      records = List.copyOf(records);
+    }
+  }
+
+  /** A record of a kept turn and its key, see {@code core.gateway.history}. */
+  record HistoryItem(String key, Bytes value) {}
+
+  /**
+   * Hands over a record to a home VM of its partition, which stores it unless the sender does.
+   *
+   * @param request the request number that matches the response; unique for the connection
+   * @param item the record
+   * @param storesNow whether the receiver is to store it at once, because the sender may not
+   */
+  record HistoryHandover(long request, HistoryItem item, boolean storesNow)
+      implements PeerMessage {}
+
+  /**
+   * Responds to {@link HistoryHandover}.
+   *
+   * @param request the number of the request
+   * @param held whether the sender holds the record until it is stored
+   */
+  record HistoryHandoverReply(long request, boolean held) implements PeerMessage {}
+
   /** An endpoint's registration, see {@code core.gateway.EndpointEntry}. */
   record EndpointInfo(
       String id,
--- a/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
+++ b/magnoliaroute-wire/src/test/java/io/magnoliaroute/wire/MessageCodecTest.java
@@ -72,6 +72,11 @@
         new PeerMessage.RequestLimitNote("e1", 5, false, 0),
         new PeerMessage.TunnelEndRequest(1, "10.0.0.1:4711"),
         new PeerMessage.TunnelEndReply(1, true),
+        new PeerMessage.HistoryRequest(1, List.of("t:1"), true),
+        new PeerMessage.HistoryReply(
+            1, List.of(new PeerMessage.HistoryItem("t:1", BYTES)), true, false),
+        new PeerMessage.HistoryHandover(1, new PeerMessage.HistoryItem("t:1", BYTES), true),
+        new PeerMessage.HistoryHandoverReply(1, true),
         new PeerMessage.RoutingStateRequest(1, 7),
         new PeerMessage.RoutingStateReply(
             1,
