Keep the output of interrupted turns, and hand records to the next VM when a home does not reply

Cause: a turn resumed at the same VM would have lacked its first events; a home VM that does not reply left a record with one holder.

Change: TurnOutput and InterruptedTurns keep forwarded events by their ids; TurnKeeper goes to the next home after 80 ms; expired records are deleted in larger calls and again after a conflict; partitions are listed one by one.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeTurn.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeTurn.java
@@ -1,11 +1,11 @@
 package io.magnoliaroute.daemon.gateway;
 
 import io.magnoliaroute.core.gateway.ReceiveMemoryLimiter;
-import io.magnoliaroute.core.gateway.history.EventDataCollector;
 import io.magnoliaroute.core.gateway.history.HistoryKeys;
 import io.magnoliaroute.core.gateway.history.KeptTurn;
 import io.magnoliaroute.core.gateway.history.SharedPrefix;
 import io.magnoliaroute.core.gateway.history.TurnChain;
+import io.magnoliaroute.core.gateway.history.TurnOutput;
 import io.magnoliaroute.core.gateway.workspace.Workspace;
 import io.magnoliaroute.core.model.Bytes;
 import io.vertx.core.Future;
@@ -37,19 +37,21 @@
   private final GatewayContext gateway;
   private final ClientRequest request;
   private final boolean kept;
-  private final ResponseBuffer output;
+  private final ResponseBuffer outputMemory;
+  private TurnOutput output = new TurnOutput();
   private Optional<ReceiveMemoryLimiter.Message> bodyMemory = Optional.empty();
   private Optional<TurnChain> chain = Optional.empty();
   private Optional<String> sharedPart = Optional.empty();
   private int sharedBytes;
   private Buffer requestBody;
   private boolean outputTooLarge;
+  private boolean complete;
 
   ExchangeTurn(GatewayContext gateway, ClientRequest request) {
     this.gateway = gateway;
     this.request = request;
     this.kept = request.route().keepsHistory() && request.route().kind().isStream();
-    this.output = new ResponseBuffer(gateway.responseMemory());
+    this.outputMemory = new ResponseBuffer(gateway.responseMemory());
     this.requestBody = request.body();
   }
 
@@ -68,8 +70,8 @@
     if (request.body().length() > MAX_INPUT_BYTES) {
       return refused(TOO_LARGE, "input of a kept turn exceeds " + MAX_INPUT_BYTES + " bytes", 0);
     }
-    if (request.metadata().lastEventId().isPresent()) {
-      // The output before the resumption would be missing from the turn.
+    if (!restoreOutput()) {
+      // The turn would lack the output before the resumption.
       return refused(UNAVAILABLE, "begin of the resumed turn not known", Exchange.RETRY_AFTER_MS);
     }
     if (request.metadata().previousTurnId().isEmpty()) {
@@ -80,6 +82,24 @@
     return gateway.turnHistory().lookup().find(key).compose(this::onLookup);
   }
 
+  // Returns whether the output before the resumption, if any, is known.
+  private boolean restoreOutput() {
+    Optional<String> lastEventId = request.metadata().lastEventId();
+    if (lastEventId.isEmpty()) {
+      return true;
+    }
+    Optional<TurnOutput> begin =
+        gateway.turnHistory().interruptedTurns().find(interruptionKey(), lastEventId.get());
+    begin.ifPresent(known -> output = known);
+    return begin.isPresent();
+  }
+
+  // All resumptions of a stream name the request that delivered its first event.
+  private String interruptionKey() {
+    String first = request.metadata().resumedRequestId().orElse(request.metadata().requestId());
+    return HistoryKeys.ofTurn(workspaceName(), first);
+  }
+
   private Future<Optional<RequestAdmission.Refusal>> onLookup(TurnLookup.Result result) {
     return switch (result.outcome()) {
       case ABSENT -> refused(NOT_FOUND, "previous turn does not exist", 0);
@@ -134,9 +154,9 @@
     if (!kept || outputTooLarge) {
       return;
     }
-    Buffer data = Buffer.buffer(EventDataCollector.dataOf(events.getBytes()));
+    output.add(events.getBytes());
     outputTooLarge =
-        output.body().length() + data.length() > MAX_OUTPUT_BYTES || !output.append(data);
+        output.sizeBytes() > MAX_OUTPUT_BYTES || !outputMemory.tryResize(output.sizeBytes());
   }
 
   /** Keeps the turn, whose response is complete. Fails if it cannot be kept. */
@@ -150,6 +170,7 @@
           .write();
       return Future.failedFuture("output of a kept turn exceeds the limit");
     }
+    complete = true;
     long nowMs = gateway.clock().millis();
     TurnHistory history = gateway.turnHistory();
     boolean refersToPart = sharedPart.isPresent() && history.sharedParts().isKept(sharedPart.get());
@@ -167,7 +188,7 @@
                 ancestors,
                 refersToPart ? sharedPart : Optional.empty(),
                 Bytes.copyOf(input),
-                Bytes.copyOf(output.body().getBytes()),
+                Bytes.copyOf(output.toByteArray()),
                 nowMs,
                 request.route().historyRetentionMs(),
                 history.ownName()));
@@ -187,9 +208,12 @@
 
   /** Releases the memory of the assembled body and of the output. */
   void release() {
+    if (kept && !complete && !outputTooLarge && output.sizeBytes() > 0) {
+      gateway.turnHistory().interruptedTurns().put(interruptionKey(), output);
+    }
     bodyMemory.ifPresent(ReceiveMemoryLimiter.Message::release);
     bodyMemory = Optional.empty();
     requestBody = Buffer.buffer();
-    output.clear();
+    outputMemory.clear();
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnHistory.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnHistory.java
@@ -7,6 +7,7 @@
 import io.magnoliaroute.core.gateway.history.HistoryKeys;
 import io.magnoliaroute.core.gateway.history.HistoryRecord;
 import io.magnoliaroute.core.gateway.history.HomeVms;
+import io.magnoliaroute.core.gateway.history.InterruptedTurns;
 import io.magnoliaroute.core.gateway.history.RecordCache;
 import io.magnoliaroute.core.log.MalformedRecordException;
 import io.magnoliaroute.platform.BootSettings;
@@ -70,10 +71,14 @@
   private final TurnKeeper keeper;
   private final TurnLookup lookup;
   private final SharedParts sharedParts;
+  private final InterruptedTurns interruptedTurns = new InterruptedTurns();
   private final Map<Integer, TurnPartition> partitions = new HashMap<>();
   private Optional<ReceiveMemoryLimiter> requestMemory = Optional.empty();
   private long runs;
 
+  /** Partitions are listed one by one: the listings of all together would not fit into the heap. */
+  private boolean loading;
+
   TurnHistory(
       TurnContext context, BootSettings settings, RoutingState routingState, TurnPeers peers) {
     this.context = context;
@@ -114,6 +119,10 @@
     return lookup;
   }
 
+  InterruptedTurns interruptedTurns() {
+    return interruptedTurns;
+  }
+
   SharedParts sharedParts() {
     return sharedParts;
   }
@@ -247,6 +256,9 @@
    */
   void maintain() {
     runs++;
+    if (peers.isStopping()) {
+      writer.makeAllDue();
+    }
     writer.pump();
     if (retentionMs() == 0) {
       return;
@@ -263,22 +275,24 @@
       if (homes.stream().noneMatch(peers::isSelf)) {
         continue;
       }
-      boolean isFirst = peers.isSelf(homes.get(0));
-      TurnPartition partition = partition(number);
-      partition
-          .readToEnd()
-          .onSuccess(
-              read -> {
-                if (deletes && isFirst) {
-                  deleteExpired(partition);
-                }
-              });
+      readOn(partition(number), deletes && peers.isSelf(homes.get(0)));
     }
   }
 
-  private void deleteExpired(TurnPartition partition) {
-    if (partition.hasExpired() && writes.tryTake(writesPerS(), clock.millis())) {
-      partition.deleteExpired();
+  private void readOn(TurnPartition partition, boolean deletes) {
+    boolean loads = !partition.isLoaded();
+    if (loads && loading) {
+      return;
     }
+    loading |= loads;
+    partition
+        .readToEnd()
+        .onComplete(
+            read -> {
+              loading &= !loads;
+              if (read.succeeded() && deletes) {
+                partition.deleteExpired(() -> writes.tryTake(writesPerS(), clock.millis()));
+              }
+            });
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnKeeper.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnKeeper.java
@@ -7,7 +7,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -19,6 +18,11 @@
   /** Time after which a response no longer waits for the store if the home VMs hold its record. */
   private static final long STORE_WAIT_MS = 60;
 
+  /** Time after which a home VM that has not replied is replaced by the next one in order. */
+  private static final long HOME_WAIT_MS = 80;
+
+  private static final int MAX_HOMES_TRIED = 5;
+
   /** Time after which a response ends although its record is held by this VM alone. */
   private static final long MAX_WAIT_MS = 1_000;
 
@@ -57,11 +61,15 @@
     private final long startedAtMs = clock.millis();
     private final Promise<Void> safe = Promise.promise();
     private boolean storeWaitOver;
-    private boolean heldByHomes;
+    private final List<VmEntry> homes;
+    private int nextHome;
+    private int otherHolders;
+    private boolean isHome;
     private boolean queued;
 
     Keep(HistoryRecord value) {
       this.value = value;
+      this.homes = peers.homes(history.partitionOf(value.key()), MAX_HOMES_TRIED);
     }
 
     Future<Void> start() {
@@ -70,7 +78,9 @@
       Future<Void> stored = writer.add(value, 0);
       queued = !stored.failed();
       stored.onSuccess(done -> completeAs("kept_in_store"));
-      handOver();
+      for (int i = 0; i < HomeVms.COUNT; i++) {
+        handToNextHome();
+      }
       long storeTimer =
           vertx.setTimer(
               STORE_WAIT_MS,
@@ -87,32 +97,45 @@
               });
     }
 
-    private void handOver() {
-      List<VmEntry> homes = peers.homes(history.partitionOf(value.key()), HomeVms.COUNT);
-      List<VmEntry> others = homes.stream().filter(vm -> !peers.isSelf(vm)).toList();
-      if (others.isEmpty()) {
+    /** Hands the record to the next home VM in order; again if that one does not hold it. */
+    private void handToNextHome() {
+      if (nextHome >= homes.size() || safe.future().isComplete()) {
         return;
       }
-      boolean isHome = others.size() < homes.size();
-      boolean homeStoresNow = !isHome && !writer.isAppending(value.key());
-      List<Future<Boolean>> handovers = new ArrayList<>();
-      for (VmEntry home : others) {
-        boolean storesNow = homeStoresNow && handovers.isEmpty();
-        handovers.add(peers.handOver(home, value, storesNow));
+      VmEntry home = homes.get(nextHome++);
+      if (peers.isSelf(home)) {
+        isHome = queued;
+        onReply(queued);
+        return;
       }
-      Future.all(handovers)
+      boolean storesNow = otherHolders == 0 && !isHome && !writer.isAppending(value.key());
+      long timer = vertx.setTimer(HOME_WAIT_MS, fired -> handToNextHome());
+      peers
+          .handOver(home, value, storesNow)
           .onSuccess(
-              all -> {
-                heldByHomes = all.<Boolean>list().stream().allMatch(held -> held);
-                if (heldByHomes && others.size() == HomeVms.COUNT) {
-                  writer.leaveToHomes(value.key());
-                }
-                completeIfHeld();
+              held -> {
+                otherHolders += held ? 1 : 0;
+                boolean inTime = vertx.cancelTimer(timer);
+                onReply(held || !inTime);
               });
     }
 
+    private void onReply(boolean heldOrReplaced) {
+      if (otherHolders >= HomeVms.COUNT) {
+        writer.leaveToHomes(value.key(), !storeHealth.isDegraded());
+      }
+      completeIfHeld();
+      if (!heldOrReplaced) {
+        handToNextHome();
+      }
+    }
+
+    private boolean isHeldByHomes() {
+      return otherHolders + (isHome ? 1 : 0) >= HomeVms.COUNT;
+    }
+
     private void completeIfHeld() {
-      if (heldByHomes && storeWaitOver) {
+      if (isHeldByHomes() && storeWaitOver) {
         completeAs("kept_at_homes");
       }
     }
@@ -131,11 +154,11 @@
           .put("key", value.key())
           .put("waited_ms", clock.millis() - startedAtMs)
           .put("queued", queued)
-          .put("held_by_homes", heldByHomes)
+          .put("holders", otherHolders)
           .put("queue", writer.pendingCount())
           .write();
       metrics.countTurn("unstored");
-      if (queued || heldByHomes) {
+      if (queued || otherHolders > 0) {
         safe.tryComplete();
       } else {
         safe.tryFail("no place for the record of the turn");
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPartition.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPartition.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 
 /** One partition of the kept turns, as a home VM reads it from the store. */
 final class TurnPartition {
@@ -25,7 +26,7 @@
   private static final int MAX_KEYS = 16_000;
 
   /** Tombstones that are appended with one call. */
-  private static final int MAX_TOMBSTONES = 500;
+  private static final int MAX_TOMBSTONES = 2_000;
 
   private static final Bytes TOMBSTONE = Bytes.copyOf(new byte[0]);
 
@@ -145,17 +146,21 @@
     }
   }
 
-  /** Returns whether there are expired records to delete. */
-  boolean hasExpired() {
-    return index.isLoaded() && !index.expiredKeys(clock.millis(), 1).isEmpty();
+  boolean isLoaded() {
+    return index.isLoaded();
   }
 
   /**
    * Appends tombstones for expired records. The append is conditional: a record that was renewed
-   * since the last read must not be deleted.
+   * since the last read must not be deleted. After a conflict, the new records are read first.
+   *
+   * @param mayCall returns whether another call may be made
    */
-  void deleteExpired() {
+  void deleteExpired(BooleanSupplier mayCall) {
     List<String> expired = index.expiredKeys(clock.millis(), MAX_TOMBSTONES);
+    if (expired.isEmpty() || !mayCall.getAsBoolean()) {
+      return;
+    }
     List<KeyValue> tombstones = expired.stream().map(key -> new KeyValue(key, TOMBSTONE)).toList();
     store
         .append(TurnWriter.TOPIC, number, Optional.of(index.nextOffset()), tombstones)
@@ -164,6 +169,14 @@
               expired.forEach(index::remove);
               index.recordReadUpTo(end);
               metrics.countTurns("expired", expired.size());
+              deleteExpired(mayCall);
+            })
+        .onFailure(
+            e -> {
+              if (e instanceof StoreException failure
+                  && failure.kind() == StoreException.Kind.CONFLICT) {
+                readToEnd().onSuccess(read -> deleteExpired(mayCall));
+              }
             });
   }
 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPeers.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPeers.java
@@ -41,6 +41,11 @@
     return vm.vm().equals(self.vm());
   }
 
+  /** Returns whether this VM is about to end, so that its records have to be stored soon. */
+  boolean isStopping() {
+    return vmDirectory.isDeregistered();
+  }
+
   int vmCount() {
     return vmDirectory.size();
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnWriter.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnWriter.java
@@ -39,12 +39,21 @@
 
   private static final int MAX_CALL_RECORDS = 500;
 
-  /** Appends under way at the same time; each takes 4 ms at the store. */
-  private static final int MAX_CONCURRENT_CALLS = 8;
+  /**
+   * Appends under way at the same time. Each takes 4 ms at the store; calls that get no answer must
+   * leave connections to the readers of the configuration and the endpoints.
+   */
+  private static final int MAX_CONCURRENT_CALLS = 4;
 
   /** Pause before an append is repeated whose result is not known, or that was refused. */
   private static final long RETRY_MS = 200;
 
+  /**
+   * The same for a record that two home VMs hold, which usually store it before; longer than a
+   * usual outage of the store.
+   */
+  private static final long HELD_RETRY_MS = 10_000;
+
   /** Pause before the queue is tried again when this VM's share of the write rate is spent. */
   private static final long BUDGET_RETRY_MS = 50;
 
@@ -138,17 +147,30 @@
     }
   }
 
-  /** Leaves the append to the home VMs, which hold the record, unless it is under way here. */
-  void leaveToHomes(String key) {
+  /**
+   * Leaves the append to the home VMs, which hold the record, unless it is under way here.
+   *
+   * @param dropped whether to drop the record here; if not, it is appended here later, in case the
+   *     home VMs end before the store is back
+   */
+  void leaveToHomes(String key, boolean dropped) {
     Pending found = pending.get(key);
-    if (found != null) {
-      found.heldElsewhere = true;
-      if (!found.appending) {
-        remove(found);
-      }
+    if (found == null) {
+      return;
+    }
+    found.heldElsewhere = true;
+    if (!found.appending && dropped) {
+      remove(found);
+    } else if (!found.appending) {
+      found.dueAtMs = clock.millis() + HELD_RETRY_MS;
     }
   }
 
+  /** Ends the delays of records that were handed over, because this VM is about to end. */
+  void makeAllDue() {
+    pending.values().forEach(each -> each.dueAtMs = Math.min(each.dueAtMs, clock.millis()));
+  }
+
   int pendingCount() {
     return pending.size();
   }
@@ -262,10 +284,7 @@
         .write();
     for (Pending each : batch) {
       each.appending = false;
-      each.dueAtMs = clock.millis() + RETRY_MS;
-      if (each.heldElsewhere) {
-        remove(each);
-      }
+      each.dueAtMs = clock.millis() + (each.heldElsewhere ? HELD_RETRY_MS : RETRY_MS);
     }
     schedule(RETRY_MS);
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsEnvironment.java
@@ -8,11 +8,13 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -96,6 +98,32 @@
     startVms(count, false);
   }
 
+  /** Blocks the event loop of a VM until the result runs. */
+  Runnable pause(int vm) {
+    return TestRuntime.pause(vms.get(vm).runtime);
+  }
+
+  /** Sends a turn and closes the client's connection once it has received some events. */
+  void disconnectAfterEvent(int vm, String turnId, String input, int events) {
+    AtomicReference<String> received = new AtomicReference<>("");
+    HttpClient disconnecting = vertx.createHttpClient();
+    disconnecting
+        .request(HttpMethod.POST, vms.get(vm).node.clientPort(), "127.0.0.1", "/keptstream/x")
+        .onSuccess(
+            request -> {
+              request.putHeader("Host", "h").putHeader("X-Request-Id", turnId);
+              request
+                  .response()
+                  .onSuccess(
+                      r -> r.handler(bytes -> received.updateAndGet(before -> before + bytes)));
+              request.end(input);
+            });
+    Await.until(
+        "the client has received the events",
+        () -> received.get().contains("id: " + events + "\n"));
+    Await.result(disconnecting.close());
+  }
+
   /** Ends a VM without a graceful shutdown. */
   void kill(int vm) {
     if (!vms.get(vm).ended) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
@@ -259,4 +259,38 @@
 
     assertEquals(503, environment.send(0, "t1", "one ", Map.of("Last-Event-Id", "3")));
   }
+
+  /** Guards against a resumed turn that lacks the events its first response delivered. */
+  @Test
+  @DisplayName("keeps the whole output of a turn that was interrupted and resumed at the same VM")
+  void resumedHere() {
+    environment = new KeptTurnsEnvironment(1);
+    environment.endpoint().addBehaviour(Behaviour.STOPS_MID_STREAM);
+    environment.disconnectAfterEvent(0, "t1", "one ", 3);
+
+    Map<String, String> resumes = Map.of("Last-Event-Id", "2", "Resumes", "t1");
+    assertEquals(200, environment.send(0, "t1b", "one ", resumes));
+    assertEquals(200, environment.sendAfter(0, "t2", "t1b", "two "));
+    assertEquals(List.of("one " + OUTPUT + "two "), environment.bodiesOf("t2"));
+  }
+
+  /** Guards against records that are handed to VMs that do not reply, and to nobody else. */
+  @Test
+  @DisplayName("keeps a turn at the next VM when a home VM does not reply and the store is away")
+  void homeVmPaused() {
+    environment = new KeptTurnsEnvironment(4);
+    Runnable resume = environment.pause(3);
+    environment.store().setFault(Fault.DOWN);
+    for (int i = 0; i < 4; i++) {
+      assertEquals(200, environment.send(0, "t" + i, "one "));
+    }
+    environment.kill(0);
+    resume.run();
+    for (int i = 0; i < 4; i++) {
+      String turn = "t" + i;
+      Await.until(
+          "the turn is continued",
+          () -> environment.sendAfter(1, "next-" + turn, turn, "two ") == 200);
+    }
+  }
 }
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -64,6 +64,8 @@
     FULL,
     /** Closes the connection of a stream in the middle of an event. */
     BREAKS_MID_EVENT,
+    /** Sends the first half of the events of a stream and nothing after them. */
+    STOPS_MID_STREAM,
     /** Crashes in the middle of an event of a stream. */
     CRASHES_MID_EVENT,
     /** Responds with the id of another request. */
@@ -277,6 +279,9 @@
       response.end();
       return;
     }
+    if (behaviour == Behaviour.STOPS_MID_STREAM && number > EVENTS_PER_STREAM / 2) {
+      return;
+    }
     if (DISCONNECTING.contains(behaviour) && number > EVENTS_PER_STREAM / 2) {
       response
           .write("id: " + number + "\nda")
