--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -66,6 +66,7 @@
   private final Runnable onFinished;
   private final OpenAttempts attempts = new OpenAttempts();
   private final ResponseBuffer buffer;
+  private final ExchangeTurn turn;
   private final EventStreamSplitter eventSplitter = new EventStreamSplitter(MAX_EVENT_BYTES);
   private final long deadlineMs;
   private ResponseHead responseHead;
@@ -94,7 +95,8 @@
     this.fingerprint =
         Fingerprint.ofServiceCall(
             request.uri(), request.method().name(), request.body().toString("ISO-8859-1"));
-    this.admission = new RequestAdmission(gateway, request, stream, fingerprint);
+    this.turn = new ExchangeTurn(gateway, request);
+    this.admission = new RequestAdmission(gateway, request, stream, fingerprint, turn);
     this.crashDetector = new CrashDetector(gateway, fingerprint);
     this.pauseTolerance = new PauseTolerance(gateway, history);
     this.buffer = new ResponseBuffer(gateway.responseMemory());
@@ -199,6 +201,7 @@
     response.start(responseHead, responseHeaders);
     stream.bindTo(attempt.endpoint());
     attempt.recordProgress(eventSplitter.eventCount());
+    turn.collect(completeEvents);
     if (!response.write(completeEvents)) {
       attempt.pause();
       response.onWritable(attempt::resume);
@@ -227,15 +230,29 @@
     gateway.crashQuarantine().recordCompletion(fingerprint);
     gateway.serviceTimes().recordDuration(service, now() - attempt.sentAtMs());
     gateway.prefixCache().recordProcessed(request.metadata().prefix(), attempt.endpoint());
-    if (streaming) {
+    if (!streaming) {
+      response.writeComplete(responseHead, responseHeaders, buffer.body());
+    } else {
       response.start(responseHead, responseHeaders);
+      if (turn.isKept() && !clientDisconnected) {
+        attempts.cancel();
+        gateway.vertx().cancelTimer(timer);
+        turn.keep().onComplete(kept -> endKept(kept.succeeded()));
+        return;
+      }
       response.end();
-    } else {
-      response.writeComplete(responseHead, responseHeaders, buffer.body());
     }
     finish("answered", responseHead.status());
   }
 
+  // A turn that is not kept must not look complete to its client, who would continue it.
+  private void endKept(boolean kept) {
+    if (kept && !finished) {
+      response.end();
+    }
+    finish(kept ? "answered" : "turn_not_kept", kept ? responseHead.status() : 0);
+  }
+
   @Override
   public void onFailed(RequestAttempt attempt, AttemptFailure failure, String cause) {
     EndpointEntry endpoint = attempt.endpoint();
@@ -501,7 +518,7 @@
             request.method(),
             request.uri(),
             headers,
-            request.body(),
+            turn.requestBody(),
             request.metadata().requestId()));
   }
 
@@ -543,6 +560,7 @@
     attempts.cancel();
     response.abort();
     buffer.clear();
+    turn.release();
     settle();
     gateway.metrics().countAnswered(status);
     gateway.metrics().recordDuration(request.route().name(), now() - request.arrivedMs());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -112,6 +112,7 @@
   private final ServiceVersionLog serviceVersionLog;
   private final StreamVersions streamVersions;
   private final AllowanceService allowances;
+  private final TurnHistory turnHistory;
   private final GatewayContext gateway;
   private final ClientServer clientServer;
   private BooleanSupplier routingStateOutdated = () -> true;
@@ -154,6 +155,7 @@
     this.vmDirectory = new VmDirectory(self, store, clock, log);
     this.peers = new PeerConnections(vertx, clock, log, metrics, socketShare(PEER_SOCKET_SHARE));
     this.allowances = createAllowances(self);
+    this.turnHistory = createTurnHistory(self);
     CrashQuarantine crashQuarantine = new CrashQuarantine(clock, log, metrics);
     EndpointLoadTracker loads = new EndpointLoadTracker();
     EndpointConnectionPool connections =
@@ -188,6 +190,7 @@
                 requestPermits,
                 workspacePermits,
                 tunnelServer,
+                turnHistory,
                 clock::millis),
             random);
     crashQuarantine.setListener(peerMessageHandler::broadcastCrash);
@@ -231,6 +234,12 @@
         metrics);
   }
 
+  private TurnHistory createTurnHistory(VmEntry self) {
+    TurnContext context = new TurnContext(vertx, store, storeHealth, clock, log, metrics);
+    TurnPeers turnPeers = new TurnPeers(vertx, self, vmDirectory, peers);
+    return new TurnHistory(context, settings, routingState, turnPeers);
+  }
+
   private long storeAppendIntervalMs() {
     double appendsPerS = STORE_WRITE_SHARE * settings.storeWritesPerS() / vmDirectory.size();
     return (long) (1_000 / appendsPerS);
@@ -298,6 +307,7 @@
         allowances,
         crashQuarantine,
         new KeyAuthorizer(settings.configLimitMs(), settings.keyRevocation()),
+        turnHistory,
         log,
         metrics);
   }
@@ -420,6 +430,7 @@
     runTask("close idle tunnels", tunnelServer::closeIdle);
     runTask("remove unlisted endpoints", gateway.reachability()::removeUnlisted);
     runTask("maintain budgets", allowances::maintain);
+    runTask("maintain kept turns", turnHistory::maintain);
     runTask("maintain versions", serviceVersionLog::maintain);
     runTask("reconnect peers", peers::reconnectUnreachable);
     if (routingState.canRoute()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -44,6 +44,7 @@
   private final RequestPermits requestPermits;
   private final WorkspacePermits workspacePermits;
   private final TunnelServer tunnelServer;
+  private final TurnHistory turnHistory;
   private final LongSupplier nowMs;
   private final RandomGenerator random;
   private boolean receivedPeerState;
@@ -64,6 +65,7 @@
       RequestPermits requestPermits,
       WorkspacePermits workspacePermits,
       TunnelServer tunnelServer,
+      TurnHistory turnHistory,
       LongSupplier nowMs) {}
 
   PeerMessageHandler(PeerConnections peers, Dependencies dependencies, RandomGenerator random) {
@@ -81,6 +83,7 @@
     this.requestPermits = dependencies.requestPermits();
     this.workspacePermits = dependencies.workspacePermits();
     this.tunnelServer = dependencies.tunnelServer();
+    this.turnHistory = dependencies.turnHistory();
     this.nowMs = dependencies.nowMs();
     this.random = random;
   }
@@ -209,6 +212,12 @@
     if (request instanceof PeerMessage.TunnelEndRequest endRequest) {
       return Future.succeededFuture(tunnelServer.onRequest(endRequest));
     }
+    if (request instanceof PeerMessage.HistoryRequest historyRequest) {
+      return turnHistory.onRequest(historyRequest);
+    }
+    if (request instanceof PeerMessage.HistoryHandover handover) {
+      return Future.succeededFuture(turnHistory.onHandover(handover));
+    }
     PeerMessage.RoutingStateRequest stateRequest = (PeerMessage.RoutingStateRequest) request;
     return Future.succeededFuture(stateReply(stateRequest));
   }
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinEndpoint.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -43,6 +44,7 @@
   private final List<String> executedRequestIds = new ArrayList<>();
   private final List<String> receivedDeadlines = new ArrayList<>();
   private MultiMap lastHeaders = MultiMap.caseInsensitiveMultiMap();
+  private final List<ReceivedBody> receivedBodies = new ArrayList<>();
   private HttpServer server;
   private int port;
   private int abortedRequests;
@@ -64,6 +66,8 @@
     FULL,
     /** Closes the connection of a stream in the middle of an event. */
     BREAKS_MID_EVENT,
+    /** Sends the first half of the events of a stream and nothing after them. */
+    STOPS_MID_STREAM,
     /** Crashes in the middle of an event of a stream. */
     CRASHES_MID_EVENT,
     /** Responds with the id of another request. */
@@ -184,6 +188,14 @@
     return MultiMap.caseInsensitiveMultiMap().setAll(lastHeaders);
   }
 
+  /** The body of a request as the endpoint received it. */
+  public record ReceivedBody(String requestId, String body) {}
+
+  /** Returns the bodies of all received requests, in order of arrival. */
+  public synchronized List<ReceivedBody> receivedBodies() {
+    return List.copyOf(receivedBodies);
+  }
+
   /** Returns the number of hanging requests whose connection was closed. */
   public synchronized int abortedRequests() {
     return abortedRequests;
@@ -194,7 +206,11 @@
   }
 
   private void handle(HttpServerRequest request) {
-    request.body().onSuccess(body -> respond(request));
+    request.body().onSuccess(body -> record(request, body)).onSuccess(body -> respond(request));
+  }
+
+  private synchronized void record(HttpServerRequest request, Buffer body) {
+    receivedBodies.add(new ReceivedBody(request.getHeader("X-Request-Id"), body.toString()));
   }
 
   private synchronized void respond(HttpServerRequest request) {
@@ -271,6 +287,9 @@
       response.end();
       return;
     }
+    if (behaviour == Behaviour.STOPS_MID_STREAM && number > EVENTS_PER_STREAM / 2) {
+      return;
+    }
     if (DISCONNECTING.contains(behaviour) && number > EVENTS_PER_STREAM / 2) {
       response
           .write("id: " + number + "\nda")
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
@@ -48,7 +48,11 @@
   TUNNEL_END_REPLY(56, PeerMessage.TunnelEndReply.class),
   WORKSPACE_PERMIT_REQUEST(57, PeerMessage.WorkspacePermitRequest.class),
   WORKSPACE_PERMIT_REPLY(58, PeerMessage.WorkspacePermitReply.class),
-  WORKSPACE_PERMIT_RETURN(59, PeerMessage.WorkspacePermitReturn.class);
+  WORKSPACE_PERMIT_RETURN(59, PeerMessage.WorkspacePermitReturn.class),
+  HISTORY_REQUEST(60, PeerMessage.HistoryRequest.class),
+  HISTORY_REPLY(61, PeerMessage.HistoryReply.class),
+  HISTORY_HANDOVER(62, PeerMessage.HistoryHandover.class),
+  HISTORY_HANDOVER_REPLY(63, PeerMessage.HistoryHandoverReply.class);
 
   private static final Map<Integer, MessageType> BY_NUMBER =
       Stream.of(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
