--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeTurn.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/ExchangeTurn.java
@@ -46,6 +46,7 @@
   private Buffer requestBody;
   private boolean outputTooLarge;
   private boolean complete;
+  private boolean released;
 
   ExchangeTurn(GatewayContext gateway, ClientRequest request) {
     this.gateway = gateway;
@@ -109,6 +110,10 @@
   }
 
   private Future<Optional<RequestAdmission.Refusal>> assemble(TurnChain found) {
+    if (released) {
+      // The request has ended during the lookup; nobody would release the memory of its body.
+      return refused(UNAVAILABLE, "request has ended", Exchange.RETRY_AFTER_MS);
+    }
     if (found.turns().size() >= MAX_TURNS) {
       return refused(TOO_LARGE, "chain exceeds " + MAX_TURNS + " turns", 0);
     }
@@ -208,6 +213,7 @@
 
   /** Releases the memory of the assembled body and of the output. */
   void release() {
+    released = true;
     if (kept && !complete && !outputTooLarge && output.sizeBytes() > 0) {
       gateway.turnHistory().interruptedTurns().put(interruptionKey(), output);
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnHistory.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnHistory.java
@@ -75,6 +75,7 @@
   private final Map<Integer, TurnPartition> partitions = new HashMap<>();
   private Optional<ReceiveMemoryLimiter> requestMemory = Optional.empty();
   private long runs;
+  private boolean handedOver;
 
   /** Partitions are listed one by one: the listings of all together would not fit into the heap. */
   private boolean loading;
@@ -257,7 +258,7 @@
   void maintain() {
     runs++;
     if (peers.isStopping()) {
-      writer.makeAllDue();
+      prepareStop();
     }
     writer.pump();
     if (retentionMs() == 0) {
@@ -279,6 +280,15 @@
     }
   }
 
+  // This VM is no home any more, so keeping a record hands it to the homes that remain.
+  private void prepareStop() {
+    writer.makeAllDue();
+    if (!handedOver) {
+      handedOver = true;
+      writer.pendingRecords().forEach(keeper::keep);
+    }
+  }
+
   private void readOn(TurnPartition partition, boolean deletes) {
     boolean loads = !partition.isLoaded();
     if (loads && loading) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnWriter.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnWriter.java
@@ -171,6 +171,11 @@
     pending.values().forEach(each -> each.dueAtMs = Math.min(each.dueAtMs, clock.millis()));
   }
 
+  /** Returns the records that are held here and not known to be stored. */
+  List<HistoryRecord> pendingRecords() {
+    return pending.values().stream().map(each -> each.value).toList();
+  }
+
   int pendingCount() {
     return pending.size();
   }
