Find an evicted turn in the listing when the store has dropped its history

Cause: after a dropped history, a home VM listed its partition into its cache; a record that did not fit was neither found nor proven absent, so its chain got 503 until it expired. TurnPartitionTest.historyDropped showed it.

Change: the record is taken from the listing itself.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPartition.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPartition.java
@@ -74,20 +74,30 @@
     }
     return store
         .read(TurnWriter.TOPIC, number, offset.getAsLong(), 0)
-        .onSuccess(page -> page.records().stream().limit(1).forEach(this::decodeToCache))
-        .<Void>mapEmpty()
-        .recover(e -> StoreException.isExpired(e) ? list() : Future.failedFuture(e))
-        .map(read -> cache.find(key, clock.millis()));
+        .map(page -> decodeFirst(page.records(), key))
+        .recover(e -> StoreException.isExpired(e) ? findInListing(key) : Future.failedFuture(e));
+  }
+
+  // The listing may be larger than the cache, so the record is taken from the listing itself.
+  private Future<Optional<HistoryRecord>> findInListing(String key) {
+    return list().map(listing -> decodeFirst(listing.records(), key));
+  }
+
+  private Optional<HistoryRecord> decodeFirst(List<StoreRecord> records, String key) {
+    return records.stream()
+        .filter(each -> each.key().equals(key))
+        .findFirst()
+        .flatMap(this::decodeToCache);
   }
 
   private Future<Void> readOrList() {
-    return index.isLoaded() ? readPages() : list();
+    return index.isLoaded() ? readPages() : list().mapEmpty();
   }
 
-  private Future<Void> list() {
+  private Future<StoreClient.Listing> list() {
     return store
         .listNewest(TurnWriter.TOPIC, number)
-        .map(
+        .onSuccess(
             listing -> {
               index.beginListing();
               listing.records().forEach(this::apply);
@@ -97,7 +107,6 @@
                   .put("records", listing.records().size())
                   .put("end", listing.end())
                   .write();
-              return null;
             });
   }
 
@@ -112,7 +121,7 @@
               boolean isLast = page.nextOffset() <= from || page.nextOffset() >= page.end();
               return isLast ? Future.succeededFuture() : readPages();
             },
-            e -> StoreException.isExpired(e) ? list() : Future.failedFuture(e));
+            e -> StoreException.isExpired(e) ? list().mapEmpty() : Future.failedFuture(e));
   }
 
   private void apply(StoreRecord read) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsEnvironment.java
@@ -124,6 +124,12 @@
     Await.result(disconnecting.close());
   }
 
+  /** Stops a VM as the platform does when it replaces it. */
+  void stopGracefully(int vm) {
+    Await.result(vms.get(vm).node.stop());
+    kill(vm);
+  }
+
   /** Ends a VM without a graceful shutdown. */
   void kill(int vm) {
     if (!vms.get(vm).ended) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
@@ -293,4 +293,40 @@
           () -> environment.sendAfter(1, "next-" + turn, turn, "two ") == 200);
     }
   }
+
+  /** Guards against a response that never ends because a single VM has no store. */
+  @Test
+  @DisplayName("ends a turn after a bounded time when neither store nor other VMs are there")
+  void singleVmWithoutStore() {
+    environment = new KeptTurnsEnvironment(1);
+    environment.store().setFault(Fault.SILENT);
+
+    assertEquals(200, environment.send(0, "t1", "one "));
+    assertEquals(200, environment.sendAfter(0, "t2", "t1", "two "));
+    assertEquals(List.of("one " + OUTPUT + "two "), environment.bodiesOf("t2"));
+    assertEquals(2, environment.counted(0, "unstored"));
+    environment.store().setFault(Fault.NONE);
+    Await.until("both turns are stored", () -> environment.storedRecords() >= 2);
+  }
+
+  /** Guards against records that are lost with VMs that stop one after the other in an outage. */
+  @Test
+  @DisplayName("hands records to the remaining VMs when a VM stops while the store is away")
+  void stopsWithoutStore() {
+    environment = new KeptTurnsEnvironment(4);
+    environment.store().setFault(Fault.DOWN);
+    for (int i = 0; i < 4; i++) {
+      assertEquals(200, environment.send(0, "t" + i, "one "));
+    }
+    environment.kill(0);
+    environment.stopGracefully(1);
+    environment.kill(2);
+
+    for (int i = 0; i < 4; i++) {
+      String turn = "t" + i;
+      Await.until(
+          "the turn is continued",
+          () -> environment.sendAfter(3, "next-" + turn, turn, "two ") == 200);
+    }
+  }
 }
