Refuse new programs early and order waiting requests while a service is short of capacity (draft)

Cause: in overload every request is sent to the cheapest endpoint, also when all queues are long, so that everything becomes late. Change: core.gateway.admission decides from the believed occupancy; the gateway refuses or queues before it sends.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointLoadTracker.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/EndpointLoadTracker.java
@@ -188,6 +188,20 @@
     return load.openRequests + load.remoteRequestsAtReport * reportWeight(load, nowMs);
   }
 
+  /**
+   * Returns the number of requests of other VMs at the time of the endpoint's last report, plus
+   * this VM's open requests.
+   */
+  public double requestsByLastReport(EndpointId endpoint) {
+    Load load = load(endpoint);
+    return load.openRequests + load.remoteRequestsAtReport;
+  }
+
+  /** Returns the weight of the endpoint's last report, from 1 when it arrives to 0. */
+  public double reportWeight(EndpointId endpoint, long nowMs) {
+    return reportWeight(load(endpoint), nowMs);
+  }
+
   /** Records whether the endpoint answered a request that it ran. */
   public void recordOutcome(EndpointId endpoint, boolean wasAnswered, long nowMs) {
     Load load = load(endpoint);
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/PlacementSimulation.java
@@ -18,30 +18,28 @@
  * Simulates, in virtual time, a fleet of VMs that place the turns of programs on model engines, and
  * measures the turns.
  */
-final class PlacementSimulation {
+class PlacementSimulation {
 
   private static final int CLIENTS = 168;
-  private static final int SHARED_PREFIXES = 16;
+  static final int SHARED_PREFIXES = 16;
   private static final long SHARED_TOKENS = 12_600;
-  private static final double PREFIX_SKEW = 1.6;
+  static final double PREFIX_SKEW = 1.6;
   private static final int TURNS = 5;
-  private static final long OWN_TOKENS_PER_TURN = 1_400;
-  private static final double STEP_MS = 1.27;
-  private static final double STEP_MS_PER_SLOT = 0.02;
-  private static final int OUTPUT_TOKENS = 257;
-  private static final double PREFILL_TOKENS_PER_MS = 205;
-  private static final double THINK_MS = 120;
+  static final double STEP_MS = 1.27;
+  static final double STEP_MS_PER_SLOT = 0.02;
+  static final int OUTPUT_TOKENS = 257;
+  static final double THINK_MS = 120;
   private static final long DURATION_MS = 30_000;
 
-  private final Fleet fleet;
-  private final SplittableRandom random = new SplittableRandom(26);
+  final Fleet fleet;
+  final SplittableRandom random = new SplittableRandom(26);
   private final PriorityQueue<Event> events =
       new PriorityQueue<>((a, b) -> Double.compare(a.atMs, b.atMs));
-  private final List<Vm> vms = new ArrayList<>();
-  private final List<Engine> engines = new ArrayList<>();
+  final List<Vm> vms = new ArrayList<>();
+  final List<Engine> engines = new ArrayList<>();
   private final List<Double> turnRatios = new ArrayList<>();
   private final RequestPermitIssuer permits = new RequestPermitIssuer();
-  private double nowMs;
+  double nowMs;
 
   /**
    * The size of a fleet.
@@ -52,9 +50,24 @@
    * @param cacheTokens number of prompt tokens that an engine keeps
    * @param limitedEngines number of engines with a request limit
    * @param limitPerS the request limit of a limited engine
+   * @param prefillTokensPerMs number of prompt tokens that an engine processes per millisecond
+   * @param ownTokensPerTurn number of prompt tokens that each turn adds
    */
   record Fleet(
-      int vms, int engines, int slots, int cacheTokens, int limitedEngines, double limitPerS) {}
+      int vms,
+      int engines,
+      int slots,
+      int cacheTokens,
+      int limitedEngines,
+      double limitPerS,
+      double prefillTokensPerMs,
+      long ownTokensPerTurn) {
+
+    /** Creates a fleet of engines that process 205 prompt tokens per millisecond. */
+    Fleet(int vms, int engines, int slots, int cacheTokens, int limitedEngines, double limitPerS) {
+      this(vms, engines, slots, cacheTokens, limitedEngines, limitPerS, 205, 1_400);
+    }
+  }
 
   PlacementSimulation(Fleet fleet) {
     this.fleet = fleet;
@@ -62,11 +75,11 @@
 
   private record Event(double atMs, Runnable action) {}
 
-  private static final class Vm {
-    private final EndpointDirectory directory = new EndpointDirectory();
-    private final EndpointLoadTracker loads = new EndpointLoadTracker();
+  static final class Vm {
+    final EndpointDirectory directory = new EndpointDirectory();
+    final EndpointLoadTracker loads = new EndpointLoadTracker();
     private final PrefixCacheIndex prefixes = new PrefixCacheIndex(4_096);
-    private final ServiceTimeAverages times = new ServiceTimeAverages();
+    final ServiceTimeAverages times = new ServiceTimeAverages();
     private final RequestLimits limits = new RequestLimits();
     private final EndpointSelector selector;
 
@@ -82,8 +95,8 @@
     }
   }
 
-  private final class Engine {
-    private final EndpointEntry entry;
+  final class Engine {
+    final EndpointEntry entry;
     private final Deque<Turn> waiting = new ArrayDeque<>();
     private final List<Turn> running = new ArrayList<>();
     private final LinkedHashMap<String, Long> cache = new LinkedHashMap<>(16, 0.75f, true);
@@ -102,16 +115,27 @@
       startWaiting();
     }
 
+    /** Removes a turn whose client has left. */
+    void cancel(Turn turn) {
+      advance();
+      if (!waiting.remove(turn) && running.remove(turn)) {
+        startWaiting();
+      }
+      turn.vm.loads.recordRequestEnd(entry.id());
+    }
+
+    EndpointLoadTracker.Report report() {
+      return new EndpointLoadTracker.Report(running.size(), waiting.size(), fleet.slots(), 1);
+    }
+
     private void startWaiting() {
       while (running.size() < fleet.slots() && !waiting.isEmpty()) {
         Turn turn = waiting.poll();
-        busyUntilMs = Math.max(nowMs, busyUntilMs) + prefill(turn) / PREFILL_TOKENS_PER_MS;
+        busyUntilMs = Math.max(nowMs, busyUntilMs) + prefill(turn) / fleet.prefillTokensPerMs();
         turn.leftTokens = OUTPUT_TOKENS;
         running.add(turn);
-        turn.vm.loads.recordReport(
-            entry.id(),
-            new EndpointLoadTracker.Report(running.size(), waiting.size(), fleet.slots(), 1),
-            (long) nowMs);
+        turn.vm.loads.recordReport(entry.id(), report(), (long) nowMs);
+        turn.startedAtMs = nowMs;
       }
       scheduleNext();
     }
@@ -164,19 +188,21 @@
       List<Turn> done = running.stream().filter(turn -> turn.leftTokens <= 0.01).toList();
       running.removeAll(done);
       startWaiting();
-      done.forEach(turn -> turn.complete(this));
+      done.forEach(Turn::complete);
     }
   }
 
-  private final class Turn {
-    private final Vm vm;
-    private final String program;
-    private final int shared;
-    private final int number;
-    private final double sentAtMs;
+  final class Turn {
+    final Vm vm;
+    final String program;
+    final int shared;
+    final int number;
+    final double sentAtMs;
+    Engine engine;
+    double startedAtMs;
     private double leftTokens;
 
-    private Turn(Vm vm, String program, int shared, int number) {
+    Turn(Vm vm, String program, int shared, int number) {
       this.vm = vm;
       this.program = program;
       this.shared = shared;
@@ -188,7 +214,7 @@
       List<PromptSegment> prefix = new ArrayList<>();
       prefix.add(new PromptSegment("shared-" + shared, SHARED_TOKENS));
       for (int turn = 0; turn <= number; turn++) {
-        prefix.add(new PromptSegment(program + "/" + turn, OWN_TOKENS_PER_TURN));
+        prefix.add(new PromptSegment(program + "/" + turn, fleet.ownTokensPerTurn()));
       }
       return prefix;
     }
@@ -199,7 +225,7 @@
           .orElseThrow();
     }
 
-    private void send() {
+    void send() {
       RequestMetadata metadata =
           new RequestMetadata(
               program + "/" + number,
@@ -238,28 +264,43 @@
 
     private void start(EndpointEntry chosen) {
       vm.loads.recordRequestStart(chosen.id());
-      engines.get(Integer.parseInt(chosen.id().value())).add(this);
+      engine = engines.get(Integer.parseInt(chosen.id().value()));
+      engine.add(this);
     }
 
-    private void complete(Engine engine) {
+    private void complete() {
       vm.loads.recordRequestEnd(engine.entry.id());
       vm.times.recordDuration("llm", (long) (nowMs - sentAtMs));
       vm.prefixes.recordProcessed(prefix(), engine.entry);
       double idleMs =
           OUTPUT_TOKENS * (STEP_MS + STEP_MS_PER_SLOT)
-              + OWN_TOKENS_PER_TURN / PREFILL_TOKENS_PER_MS;
+              + fleet.ownTokensPerTurn() / fleet.prefillTokensPerMs();
       if (sentAtMs > DURATION_MS / 3.0) {
         turnRatios.add((nowMs - sentAtMs) / idleMs);
       }
-      if (number + 1 < TURNS) {
-        events.add(
-            new Event(nowMs + THINK_MS, () -> new Turn(vm, program, shared, number + 1).send()));
-      }
+      onCompleted(this);
     }
   }
 
+  /** Continues the program of a turn that has ended. */
+  void onCompleted(Turn turn) {
+    if (turn.number + 1 < TURNS) {
+      after(THINK_MS, () -> new Turn(turn.vm, turn.program, turn.shared, turn.number + 1).send());
+    }
+  }
+
+  void after(double delayMs, Runnable action) {
+    events.add(new Event(nowMs + delayMs, action));
+  }
+
   /** Runs programs that send the given number of turns per second. */
   void run(double turnsPerSecond) {
+    createFleet();
+    addArrivals(turnsPerSecond);
+    runEvents();
+  }
+
+  void createFleet() {
     String[] dataCentres = {"a", "b", "c"};
     for (int i = 0; i < fleet.engines(); i++) {
       engines.add(
@@ -283,6 +324,9 @@
       }
       vms.add(vm);
     }
+  }
+
+  private void addArrivals(double turnsPerSecond) {
     int[] vmOfClient = new int[CLIENTS];
     Arrays.setAll(vmOfClient, client -> random.nextInt(fleet.vms()));
     double programsPerMs = turnsPerSecond / TURNS / 1_000;
@@ -294,6 +338,9 @@
       Vm vm = vms.get(vmOfClient[random.nextInt(CLIENTS)]);
       events.add(new Event(atMs, () -> new Turn(vm, id, shared, 0).send()));
     }
+  }
+
+  void runEvents() {
     while (!events.isEmpty()) {
       Event next = events.poll();
       nowMs = next.atMs;
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -28,8 +28,8 @@
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
 
-  /** Delay before another attempt to place a request for which no endpoint was available. */
-  private static final long PLACEMENT_RETRY_MS = 20;
+  /** Time for which an endpoint that refused a request counts as full. */
+  private static final long FULL_MS = DispatchQueue.INTERVAL_MS;
 
   /**
    * Delay before a reconnect to an endpoint whose connection broke. A crashing process may still
@@ -53,6 +53,7 @@
   private final ClientRequest request;
   private final ClientResponse response;
   private final AttemptHistory history;
+  private final AdmissionGate gate;
   private final RequestAdmission admission;
   private final Fingerprint fingerprint;
   private final CrashDetector crashDetector;
@@ -92,7 +93,8 @@
     this.fingerprint =
         Fingerprint.ofServiceCall(
             request.uri(), request.method().name(), request.body().toString("ISO-8859-1"));
-    this.admission = new RequestAdmission(gateway, request, stream, fingerprint);
+    this.gate = new AdmissionGate(gateway, request, service);
+    this.admission = new RequestAdmission(gateway, request, stream, fingerprint, gate);
     this.crashDetector = new CrashDetector(gateway, fingerprint);
     this.pauseTolerance = new PauseTolerance(gateway, history);
     this.buffer = new ResponseBuffer(gateway.responseMemory());
@@ -120,15 +122,16 @@
   }
 
   /**
-   * Handles the disconnection of the client. Cancels the current attempt, unless the request must
-   * not be retried: such an attempt runs to its end.
+   * Handles the disconnection of the client. Cancels the current attempt, unless it is an action
+   * that must not be retried: such an attempt runs to its end. A stream has no other effect than
+   * the events, which nobody reads any more.
    */
   void handleClientDisconnect() {
     if (finished) {
       return;
     }
     clientDisconnected = true;
-    if (attempts.current() != null && !isRetryable()) {
+    if (attempts.current() != null && !isRetryable() && !isStream()) {
       // A non-idempotent request that is already running is not cancelled; its response is
       // discarded.
       return;
@@ -248,7 +251,7 @@
       log.logBroken(attempt, cause);
     }
     if (failure == AttemptFailure.REFUSED_FULL) {
-      gateway.loads().markFull(endpoint.id(), now() + PLACEMENT_RETRY_MS);
+      gateway.loads().markFull(endpoint.id(), now() + FULL_MS);
     }
     if (failure == AttemptFailure.REFUSED_GONE) {
       gateway.routingState().endpoints().removeDisplaced(endpoint);
@@ -340,7 +343,7 @@
       refuseWithoutEndpoint(RETRY_AFTER_MS);
       return;
     }
-    gateway.vertx().setTimer(PLACEMENT_RETRY_MS, fired -> dispatch());
+    gate.awaitEndpoint(now() + wait.remainingMs(), this::dispatch);
   }
 
   private void dispatchTo(EndpointSelector.Selection selection) {
@@ -533,10 +536,12 @@
     }
     finished = true;
     gateway.vertx().cancelTimer(timer);
+    gate.cancel();
     attempts.cancel();
     response.abort();
     buffer.clear();
     settle();
+    gateway.dispatchQueue().onPlaceFreed(service);
     gateway.metrics().countAnswered(status);
     gateway.metrics().recordDuration(request.route().name(), now() - request.arrivedMs());
     int events = eventSplitter.eventCount();
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
@@ -5,6 +5,7 @@
 import io.magnoliaroute.core.gateway.EndpointSelector;
 import io.magnoliaroute.core.gateway.PrefixCacheIndex;
 import io.magnoliaroute.core.gateway.ServiceTimeAverages;
+import io.magnoliaroute.core.gateway.admission.ServiceAdmission;
 import io.vertx.core.Vertx;
 import java.time.InstantSource;
 import java.util.random.RandomGenerator;
@@ -33,6 +34,8 @@
  * @param budgets the token budgets of programs
  * @param crashQuarantine quarantines requests that crash endpoints
  * @param keys authorizes requests by their keys
+ * @param admission decides which requests are served while a service is short of capacity
+ * @param dispatchQueue keeps the requests that wait for a place at an endpoint
  * @param log the decision log
  * @param metrics counters and histograms
  */
@@ -58,5 +61,7 @@
     TokenBudgets budgets,
     CrashQuarantine crashQuarantine,
     KeyAuthorizer keys,
+    ServiceAdmission admission,
+    DispatchQueue dispatchQueue,
     DecisionLog log,
     GatewayMetrics metrics) {}
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
@@ -19,6 +19,12 @@
     metrics.increment("sends_failed", "result", result);
   }
 
+  /** Counts a request that was refused because its service has too little capacity. */
+  void countNotAdmitted(String service, boolean isFirstTurn) {
+    metrics.increment(
+        "requests_not_admitted", "service_turn", service + (isFirstTurn ? "/first" : "/later"));
+  }
+
   /** Counts a request that goes on at another endpoint than one that may have run it. */
   void countMoved(String evidence) {
     metrics.increment("requests_moved", "evidence", evidence);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -11,6 +11,8 @@
 import io.magnoliaroute.core.gateway.ServiceTimeAverages;
 import io.magnoliaroute.core.gateway.ServiceVersions;
 import io.magnoliaroute.core.gateway.VmEntry;
+import io.magnoliaroute.core.gateway.admission.ReportedOccupancy;
+import io.magnoliaroute.core.gateway.admission.ServiceAdmission;
 import io.magnoliaroute.core.settings.HostPort;
 import io.magnoliaroute.platform.BootSettings;
 import io.magnoliaroute.platform.PlatformFormatException;
@@ -262,6 +264,8 @@
     EndpointSelector endpointSelector =
         new EndpointSelector(
             routingState.endpoints(), loads, prefixCache, serviceTimes, requestLimits, paths);
+    ServiceAdmission admission =
+        new ServiceAdmission(new ReportedOccupancy(routingState.endpoints(), loads), serviceTimes);
     Watchdog watchdog = new Watchdog(clock, log);
     watchdog.setProber(createProber(paths, connections, reachability));
     return new GatewayContext(
@@ -286,6 +290,8 @@
         allowances,
         crashQuarantine,
         new KeyAuthorizer(settings.configLimitMs(), settings.keyRevocation()),
+        admission,
+        new DispatchQueue(vertx, clock, admission, metrics),
         log,
         metrics);
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
@@ -7,7 +7,8 @@
 
 /**
  * Decides whether a request may run, before it is sent to any endpoint: whether it crashes
- * endpoints, may be resumed, and has tokens left in its budget. Confined to one event loop.
+ * endpoints, may be resumed, has tokens left in its budget, and finds capacity. Confined to one
+ * event loop.
  */
 final class RequestAdmission {
 
@@ -21,6 +22,7 @@
   private final StreamBinding stream;
   private final Fingerprint fingerprint;
   private final TurnReservation reservation;
+  private final AdmissionGate gate;
 
   /**
    * Why a request may not run.
@@ -34,11 +36,13 @@
       GatewayContext gateway,
       ClientRequest request,
       StreamBinding stream,
-      Fingerprint fingerprint) {
+      Fingerprint fingerprint,
+      AdmissionGate gate) {
     this.gateway = gateway;
     this.request = request;
     this.stream = stream;
     this.fingerprint = fingerprint;
+    this.gate = gate;
     this.reservation = new TurnReservation(gateway.budgets(), request.metadata());
   }
 
@@ -48,16 +52,32 @@
       return refused(UNAVAILABLE, "request crashed endpoints", 0);
     }
     if (!request.route().kind().isStream()) {
-      return ADMITTED;
+      return awaitCapacity(Optional.empty());
     }
     gateway.serviceVersions().observeChanges();
     Future<Optional<Refusal>> resumable =
         stream.isResumption() ? stream.bindResumed().compose(this::checkResumption) : ADMITTED;
-    return resumable.compose(
-        refusal ->
-            refusal.isEmpty() && reservation.isNeeded()
-                ? reserve()
-                : Future.succeededFuture(refusal));
+    return resumable
+        .compose(
+            refusal ->
+                refusal.isEmpty() && reservation.isNeeded()
+                    ? reserve()
+                    : Future.succeededFuture(refusal))
+        .compose(this::awaitCapacity);
+  }
+
+  // Whether a turn is the first of its program is known only once its tokens are reserved.
+  private Future<Optional<Refusal>> awaitCapacity(Optional<Refusal> earlier) {
+    if (earlier.isPresent()) {
+      return Future.succeededFuture(earlier);
+    }
+    return gate.admit(reservation)
+        .onSuccess(
+            refusal -> {
+              if (refusal.isPresent()) {
+                reservation.release();
+              }
+            });
   }
 
   private Future<Optional<Refusal>> checkResumption(boolean isVersionKnown) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnReservation.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnReservation.java
@@ -37,6 +37,29 @@
             });
   }
 
+  /**
+   * Returns whether the turn is the first of its program. A turn without a reservation continues
+   * one.
+   */
+  boolean isFirstTurn() {
+    return reserved.map(turn -> turn.usedTokens() <= turn.reservedTokens()).orElse(false);
+  }
+
+  /** Returns the number of turns that the budget allows, including this one; at least one. */
+  long turnsLeft() {
+    if (reserved.isEmpty() || reserved.get().reservedTokens() <= 0) {
+      return 1;
+    }
+    TokenBudgets.Reservation turn = reserved.get();
+    long unusedTokens = metadata.tokenBudget().orElseThrow() - turn.usedTokens();
+    return 1 + Math.max(0, unusedTokens / turn.reservedTokens());
+  }
+
+  /** Releases all tokens of a turn that was not sent to any endpoint. */
+  void release() {
+    settle(1, 0);
+  }
+
   /**
    * Releases the tokens that were not delivered to the client.
    *
