--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -11,6 +11,8 @@
 import io.magnoliaroute.core.gateway.ServiceTimeAverages;
 import io.magnoliaroute.core.gateway.ServiceVersions;
 import io.magnoliaroute.core.gateway.VmEntry;
+import io.magnoliaroute.core.gateway.admission.ReportedOccupancy;
+import io.magnoliaroute.core.gateway.admission.ServiceAdmission;
 import io.magnoliaroute.core.settings.HostPort;
 import io.magnoliaroute.platform.BootSettings;
 import io.magnoliaroute.platform.PlatformFormatException;
@@ -282,6 +284,8 @@
     EndpointSelector endpointSelector =
         new EndpointSelector(
             routingState.endpoints(), loads, prefixCache, serviceTimes, requestLimits, paths);
+    ServiceAdmission admission =
+        new ServiceAdmission(new ReportedOccupancy(routingState.endpoints(), loads), serviceTimes);
     Watchdog watchdog = new Watchdog(clock, log);
     watchdog.setProber(createProber(paths, connections, reachability));
     return new GatewayContext(
@@ -308,6 +312,8 @@
         crashQuarantine,
         new KeyAuthorizer(settings.configLimitMs(), settings.keyRevocation()),
         turnHistory,
+        admission,
+        new DispatchQueue(vertx, clock, admission, metrics),
         log,
         metrics);
   }
@@ -587,6 +593,10 @@
     return requestLimits.all().size();
   }
 
+  int waitingRequests() {
+    return gateway.dispatchQueue().size();
+  }
+
   int usableEndpoints(String service) {
     return routingState.endpoints().usableEndpoints(service, clock.millis()).size();
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
@@ -7,7 +7,8 @@
 
 /**
  * Decides whether a request may run, before it is sent to any endpoint: whether it crashes
- * endpoints, may be resumed, and has tokens left in its budget. Confined to one event loop.
+ * endpoints, may be resumed, has tokens left in its budget, and finds capacity. Confined to one
+ * event loop.
  */
 final class RequestAdmission {
 
@@ -23,6 +24,7 @@
   private final ExchangeTurn turn;
   private final TurnReservation reservation;
   private final QuotaReservation quota;
+  private final AdmissionGate gate;
 
   /**
    * Why a request may not run.
@@ -37,12 +39,14 @@
       ClientRequest request,
       StreamBinding stream,
       Fingerprint fingerprint,
-      ExchangeTurn turn) {
+      ExchangeTurn turn,
+      AdmissionGate gate) {
     this.gateway = gateway;
     this.request = request;
     this.stream = stream;
     this.fingerprint = fingerprint;
     this.turn = turn;
+    this.gate = gate;
     this.reservation = new TurnReservation(gateway.budgets(), request.metadata());
     this.quota = new QuotaReservation(gateway, request.workspace());
   }
@@ -63,7 +67,7 @@
 
   private Future<Optional<Refusal>> admitWithinQuota() {
     if (!request.route().kind().isStream()) {
-      return ADMITTED;
+      return awaitCapacity(Optional.empty());
     }
     gateway.serviceVersions().observeChanges();
     Future<Optional<Refusal>> resumable =
@@ -73,11 +77,27 @@
             ? resumable.compose(
                 refusal -> refusal.isEmpty() ? turn.lookUp() : Future.succeededFuture(refusal))
             : resumable;
-    return continuable.compose(
-        refusal ->
-            refusal.isEmpty() && reservation.isNeeded()
-                ? reserve()
-                : Future.succeededFuture(refusal));
+    return continuable
+        .compose(
+            refusal ->
+                refusal.isEmpty() && reservation.isNeeded()
+                    ? reserve()
+                    : Future.succeededFuture(refusal))
+        .compose(this::awaitCapacity);
+  }
+
+  // Whether a turn is the first of its program is known only once its tokens are reserved.
+  private Future<Optional<Refusal>> awaitCapacity(Optional<Refusal> earlier) {
+    if (earlier.isPresent()) {
+      return Future.succeededFuture(earlier);
+    }
+    return gate.admit(reservation)
+        .onSuccess(
+            refusal -> {
+              if (refusal.isPresent()) {
+                reservation.release();
+              }
+            });
   }
 
   private Future<Optional<Refusal>> checkResumption(boolean isVersionKnown) {
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
@@ -23,6 +23,8 @@
   private static final int STREAM_TIMEOUT_MS = 4_000;
 
   private static final String BRIEF = "\"path_prefix\":\"/brief/\"";
+  /** Target latency of the route with one; about the duration of a stream. */
+  private static final int QUICK_TARGET_MS = 20;
 
   private StandinConfiguration() {}
 
@@ -56,7 +58,9 @@
             route("unsafe", "/unsafe/", "unsafe", DEFAULT_TIMEOUT_MS, false),
             route("stream", "/stream/", "stream", STREAM_TIMEOUT_MS, true),
             route("plainstream", "/plainstream/", "stream", STREAM_TIMEOUT_MS, false),
-            keptRoute("keptstream", "/keptstream/"));
+            keptRoute("keptstream", "/keptstream/"),
+            route("quickstream", "/quickstream/", "stream", STREAM_TIMEOUT_MS, true)
+                .replace("}", ",\"target_latency_ms\":" + QUICK_TARGET_MS + "}"));
     return ("{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"%s\","
             + "\"health_path\":\"/h\",\"max_conns\":%d,"
             + "\"engine\":{\"slots\":8,\"kv_tokens\":1000,\"stride\":10}}]%s}")
