--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -1,13 +1,10 @@
 package io.magnoliaroute.daemon.gateway;
 
-import io.magnoliaroute.core.gateway.EndpointEntry;
 import io.magnoliaroute.core.gateway.EndpointLoadTracker;
 import io.magnoliaroute.core.gateway.EndpointPaths;
 import io.magnoliaroute.core.gateway.EndpointSelector;
-import io.magnoliaroute.core.gateway.EngineReport;
 import io.magnoliaroute.core.gateway.PrefixCacheIndex;
 import io.magnoliaroute.core.gateway.RequestLimits;
-import io.magnoliaroute.core.gateway.ServiceSpec;
 import io.magnoliaroute.core.gateway.ServiceTimeAverages;
 import io.magnoliaroute.core.gateway.ServiceVersions;
 import io.magnoliaroute.core.gateway.VmEntry;
@@ -23,7 +20,6 @@
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
@@ -89,9 +85,6 @@
    */
   private static final long RELEASE_TIMEOUT_MS = 300;
 
-  private static final Future<Optional<EngineReport>> NO_REPORT =
-      Future.succeededFuture(Optional.empty());
-
   private final BootSettings settings;
   private final SettingsSource source;
   private final InstantSource clock;
@@ -320,56 +313,13 @@
 
   private Watchdog.Prober createProber(
       EndpointPaths paths, EndpointConnectionPool connections, ReachabilityMonitor reachability) {
-    EngineReportClient reportClient = new EngineReportClient(vertx, connections);
-    HealthCheckClient healthCheckClient = new HealthCheckClient(vertx, connections);
-    return new Watchdog.Prober() {
-      @Override
-      public Future<Boolean> probe(EndpointEntry endpoint) {
-        return reachability.probe(endpoint);
-      }
-
-      @Override
-      public Future<Boolean> responds(EndpointEntry endpoint) {
-        Optional<ServiceSpec> service =
-            routingState.table().flatMap(table -> table.service(endpoint.service()));
-        if (service.isEmpty()) {
-          return Future.succeededFuture(false);
-        }
-        return requestPermits
-            .acquire(endpoint, 0)
-            .compose(
-                permit ->
-                    permit.granted()
-                        ? healthCheckClient
-                            .check(endpoint, paths.relay(endpoint.id()), service.get())
-                            .map(true)
-                        : Future.succeededFuture(false))
-            .otherwise(false);
-      }
-
-      @Override
-      public boolean isUnreachable(EndpointEntry endpoint) {
-        return reachability.isUnreachable(endpoint);
-      }
-
-      @Override
-      public boolean mayBeSound(EndpointEntry endpoint) {
-        return reachability.mayBeSound(endpoint);
-      }
-
-      @Override
-      public Future<Optional<EngineReport>> fetchReport(EndpointEntry endpoint) {
-        return requestPermits
-            .acquire(endpoint, 0)
-            .compose(permit -> permit.granted() ? fetch(endpoint) : NO_REPORT);
-      }
-
-      private Future<Optional<EngineReport>> fetch(EndpointEntry endpoint) {
-        return reportClient
-            .fetch(endpoint, paths.relay(endpoint.id()), reachability.maxConnections(endpoint))
-            .map(Optional::of);
-      }
-    };
+    return new EndpointProber(
+        routingState,
+        requestPermits,
+        reachability,
+        paths,
+        new EngineReportClient(vertx, connections),
+        new HealthCheckClient(vertx, connections));
   }
 
   /** Starts following the store and listening for clients and peers. */
--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
@@ -23,6 +23,7 @@
   private static final int STREAM_TIMEOUT_MS = 4_000;
 
   private static final String BRIEF = "\"path_prefix\":\"/brief/\"";
+
   /** Target latency of the route with one; about the duration of a stream. */
   private static final int QUICK_TARGET_MS = 20;
 
