Remember the records of every home VM's reply

Cause: a VM that is no home of a shared part asked a home, got the part and did not remember it, so it appended the part again. With two VMs, both are homes and the test did not see it; a trial with faults put into the code did.

Change: the reply is remembered in every case; the test uses four VMs.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnLookup.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnLookup.java
@@ -275,6 +275,8 @@
     }
 
     private void onReply(PeerMessage.HistoryReply reply) {
+      // Records of several keys may be spread over the home VMs.
+      history.remember(reply);
       boolean hasAll = reply.records().size() >= keys.size();
       if (hasAll || (reply.readToEnd() && reply.knowsPast())) {
         answer.tryComplete(reply);
@@ -283,8 +285,6 @@
       if (reply.records().size() > best.records().size() || reply.readToEnd()) {
         best = reply;
       }
-      // Records of several keys may be spread over the home VMs.
-      history.remember(reply);
     }
   }
 }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
@@ -223,18 +223,21 @@
   @Test
   @DisplayName("stores a shared part once and assembles chains that begin with it")
   void sharedPart() {
-    environment = new KeptTurnsEnvironment(2);
+    environment = new KeptTurnsEnvironment(4);
     String shared = "s".repeat(9_000);
     Map<String, String> prefix = Map.of("X-Prompt-Prefix", "system:9000,own:1000");
     assertEquals(200, environment.send(0, "t0", shared + "a".repeat(1_000), prefix));
     Await.until("the part is stored", () -> environment.storedRecords() >= 2);
     int storedBefore = environment.storedRecords();
 
-    assertEquals(200, environment.send(1, "t1", shared + "b".repeat(1_000), prefix));
-    assertEquals(storedBefore + 1, environment.storedRecords());
+    // Two of the VMs are no home of the part and have to ask for it.
+    for (int vm = 1; vm < 4; vm++) {
+      assertEquals(200, environment.send(vm, "t" + vm, shared + "b".repeat(1_000), prefix));
+      assertEquals(storedBefore + vm, environment.storedRecords());
+    }
     environment.restartAll();
-    assertEquals(200, environment.sendAfter(0, "t2", "t1", "two "));
-    assertEquals(List.of(shared + "b".repeat(1_000) + OUTPUT + "two "), environment.bodiesOf("t2"));
+    assertEquals(200, environment.sendAfter(0, "t4", "t1", "two "));
+    assertEquals(List.of(shared + "b".repeat(1_000) + OUTPUT + "two "), environment.bodiesOf("t4"));
   }
 
   /** Guards against a turn that counts although its client never got the end of the response. */
