Take the token bucket out of RequestPermitIssuer

Cause: quotas of workspaces need the same bucket with another rate, capacity and start. Change: TokenBucket; RequestPermitIssuer uses it with the same arithmetic. Measured: RequestPermitIssuerTest and RequestLimitTest pass.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestPermitIssuer.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/RequestPermitIssuer.java
@@ -37,24 +37,8 @@
    */
   public record Permit(boolean granted, long delayMs) {}
 
-  private static final class Bucket {
-    private final long startedAtMs;
-    private double available;
-    private long refilledAtMs;
-
-    // Starts empty: the VM that issued the permits before may just have issued the last ones.
-    private Bucket(long startedAtMs, long nowMs) {
-      this.startedAtMs = startedAtMs;
-      this.refilledAtMs = nowMs;
-    }
-
-    private void refill(double permitsPerS, long nowMs) {
-      double elapsedS = Math.max(0, nowMs - refilledAtMs) / MS_PER_S;
-      refilledAtMs = Math.max(refilledAtMs, nowMs);
-      double capacity = Math.max(1, permitsPerS * BURST_MS / MS_PER_S);
-      available = Math.min(capacity, available + elapsedS * permitsPerS);
-    }
-  }
+  // Starts empty: the VM that issued the permits before may just have issued the last ones.
+  private record Bucket(long startedAtMs, TokenBucket permits) {}
 
   /**
    * Decides on a request for a permit.
@@ -65,17 +49,18 @@
    */
   public Permit request(RequestLimit limit, double share, long maxDelayMs, long nowMs) {
     Bucket bucket = buckets.get(limit.endpoint());
-    if (bucket == null || bucket.startedAtMs < limit.startedAtMs()) {
-      bucket = new Bucket(limit.startedAtMs(), nowMs);
+    if (bucket == null || bucket.startedAtMs() < limit.startedAtMs()) {
+      bucket = new Bucket(limit.startedAtMs(), new TokenBucket(nowMs));
       buckets.put(limit.endpoint(), bucket);
     }
     double permitsPerS = Math.max(MIN_PERMITS_PER_S, limit.requestsPerS() * share);
-    bucket.refill(permitsPerS, nowMs);
-    long delayMs = (long) Math.ceil(Math.max(0, 1 - bucket.available) / permitsPerS * MS_PER_S);
+    double capacity = Math.max(1, permitsPerS * BURST_MS / MS_PER_S);
+    bucket.permits().refill(permitsPerS, capacity, nowMs);
+    long delayMs = bucket.permits().delayMs(permitsPerS, nowMs);
     if (delayMs > maxDelayMs) {
       return new Permit(false, delayMs);
     }
-    bucket.available--;
+    bucket.permits().take();
     return new Permit(true, delayMs);
   }
 
