--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/workspace/WorkspaceDirectory.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/gateway/workspace/WorkspaceDirectory.java
@@ -31,4 +31,9 @@
   public Optional<Workspace> findByName(String name) {
     return Optional.ofNullable(byName.get(name));
   }
+
+  /** Returns whether any workspace has a quota. */
+  public boolean hasQuotas() {
+    return byName.values().stream().anyMatch(workspace -> workspace.quota().isLimited());
+  }
 }
