Keep workspaces within their quotas over all VMs

Cause: nothing limited the requests of a workspace. Change: a request of a workspace with a quota gets a permit after the check for crashing requests, and a new one if it has waited for an endpoint for more than 0.1 s; messages 57 to 59 to VMs of protocol 2; a permit whose request was not sent is returned; 429 over the quota; metrics and log lines. Without quotas no message passes.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/Exchange.java
@@ -73,6 +73,7 @@
   private long timer;
   private boolean clientDisconnected;
   private boolean finished;
+  private boolean sent;
 
   Exchange(
       GatewayContext gateway, ClientRequest request, ClientResponse response, Runnable onFinished) {
@@ -356,6 +357,10 @@
   }
 
   private void connectWithPermit(EndpointEntry endpoint, boolean newConnection, long maxDelayMs) {
+    if (!sent && admission.isPermitOutdated()) {
+      admission.renewPermit().onSuccess(this::dispatchOrRefuse);
+      return;
+    }
     gateway
         .requestPermits()
         .acquire(endpoint, maxDelayMs)
@@ -489,6 +494,7 @@
     RequestAttempt attempt =
         new RequestAttempt(gateway, connection, this, request.metadata().requestId());
     attempts.add(attempt);
+    sent = true;
     attempt.start(
         new RequestAttempt.OutboundRequest(
             request.method(),
@@ -545,7 +551,7 @@
   }
 
   private void settle() {
-    admission.settle(service, eventSplitter.eventCount());
+    admission.settle(service, eventSplitter.eventCount(), sent);
   }
 
   @Override
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayContext.java
@@ -26,6 +26,7 @@
  * @param tunnelEnds determines how connections through relays have ended
  * @param departures handles endpoints that announce their departure
  * @param requestPermits obtains the permits for requests to endpoints with a request limit
+ * @param workspacePermits obtains the permits for requests of workspaces with a quota
  * @param serviceVersions keeps the software versions in service
  * @param streamVersions determines at which software version a stream may be resumed
  * @param watchdog detects endpoints and connections that send nothing
@@ -51,6 +52,7 @@
     TunnelEnds tunnelEnds,
     DepartureTracker departures,
     RequestPermits requestPermits,
+    WorkspacePermits workspacePermits,
     ServiceVersionLog serviceVersions,
     StreamVersions streamVersions,
     Watchdog watchdog,
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayMetrics.java
@@ -28,6 +28,11 @@
     metrics.increment("request_permits", "result", granted ? "granted" : "denied");
   }
 
+  /** Counts a request of a workspace with a quota, by what became of it. */
+  void countQuota(String result) {
+    metrics.increment("quota_requests", "result", result);
+  }
+
   void countStoreCall(String kind, String outcome) {
     metrics.increment("store_calls", "kind_outcome", kind + "/" + outcome);
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -108,6 +108,7 @@
   private final OutcomeSharing outcomeSharing;
   private final TunnelServer tunnelServer;
   private final RequestPermits requestPermits;
+  private final WorkspacePermits workspacePermits;
   private final ServiceVersionLog serviceVersionLog;
   private final StreamVersions streamVersions;
   private final AllowanceService allowances;
@@ -162,6 +163,7 @@
     this.tunnelServer = new TunnelServer(vertx, routingState, paths, reachability, clock, metrics);
     DepartureTracker departures = new DepartureTracker(routingState, connections, log);
     this.requestPermits = createPermits(self);
+    this.workspacePermits = createWorkspacePermits(self);
     ServiceVersions versions = new ServiceVersions();
     this.serviceVersionLog =
         new ServiceVersionLog(vertx, store, routingState, versions, clock, log);
@@ -184,6 +186,7 @@
                 departures,
                 outcomeSharing,
                 requestPermits,
+                workspacePermits,
                 tunnelServer,
                 clock::millis),
             random);
@@ -238,6 +241,14 @@
     return new RequestPermits(vertx, peers, issuers, requestLimits, clock, log, metrics);
   }
 
+  private WorkspacePermits createWorkspacePermits(VmEntry self) {
+    return new WorkspacePermits(
+        new WorkspacePermits.Dependencies(
+            vertx, self, vmDirectory, peers, routingState, clock, log, metrics),
+        settings.quotaBounds(),
+        random);
+  }
+
   private ReachabilityMonitor createReachability(
       EndpointLoadTracker loads, EndpointPaths paths, EndpointConnectionPool connections) {
     return new ReachabilityMonitor(
@@ -279,6 +290,7 @@
         new TunnelEnds(peers),
         departures,
         requestPermits,
+        workspacePermits,
         serviceVersionLog,
         streamVersions,
         watchdog,
@@ -388,6 +400,7 @@
   private void tick() {
     ticks++;
     runTask("share outcomes", outcomeSharing::shareIfDue);
+    runTask("issue quotas", workspacePermits::tick);
     runTask("check attempts", gateway.watchdog()::check);
     runTask("probe endpoints", gateway.reachability()::probeLostPaths);
     boolean outdated =
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerConnections.java
@@ -6,6 +6,7 @@
 import io.magnoliaroute.wire.MessageCodec;
 import io.magnoliaroute.wire.PeerMessage;
 import io.magnoliaroute.wire.WireException;
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Promise;
@@ -16,6 +17,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.net.ConnectException;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -81,6 +83,7 @@
     private final Map<Long, Promise<PeerMessage>> pendingRequests = new HashMap<>();
     private int failures;
     private boolean unreachable;
+    private boolean refused;
     private long unreachableSinceMs;
     private long retryAtMs;
   }
@@ -138,6 +141,15 @@
     return isUnreachable(address) ? clock.millis() - peers.get(address).unreachableSinceMs : 0;
   }
 
+  /**
+   * Returns whether the host of the peer refused the last connection, so that its process is not
+   * running.
+   */
+  boolean hasRefused(HostPort address) {
+    Peer peer = peers.get(address);
+    return peer != null && peer.refused;
+  }
+
   /** Connects to unreachable peers whose backoff has elapsed; callers skip them until then. */
   void reconnectUnreachable() {
     peers.forEach(
@@ -210,6 +222,7 @@
         .onSuccess(
             socket -> {
               peer.connecting = false;
+              peer.refused = false;
               peer.socket = socket;
               markReachable(address, peer);
               socket.handler(frameReader(socket, message -> onReply(address, peer, message)));
@@ -221,6 +234,8 @@
         .onFailure(
             e -> {
               peer.connecting = false;
+              peer.refused =
+                  e instanceof ConnectException && !(e instanceof ConnectTimeoutException);
               onFailure(address, peer, String.valueOf(e.getMessage()));
             });
   }
@@ -282,6 +297,9 @@
     if (message instanceof PeerMessage.PermitReply reply) {
       return reply.request();
     }
+    if (message instanceof PeerMessage.WorkspacePermitReply reply) {
+      return reply.request();
+    }
     if (message instanceof PeerMessage.TunnelEndReply reply) {
       return reply.request();
     }
@@ -303,6 +321,7 @@
             message -> {
               if (message instanceof PeerMessage.AllowanceRequest
                   || message instanceof PeerMessage.PermitRequest
+                  || message instanceof PeerMessage.WorkspacePermitRequest
                   || message instanceof PeerMessage.TunnelEndRequest
                   || message instanceof PeerMessage.RoutingStateRequest) {
                 handler
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -42,6 +42,7 @@
   private final DepartureTracker departures;
   private final OutcomeSharing outcomeSharing;
   private final RequestPermits requestPermits;
+  private final WorkspacePermits workspacePermits;
   private final TunnelServer tunnelServer;
   private final LongSupplier nowMs;
   private final RandomGenerator random;
@@ -61,6 +62,7 @@
       DepartureTracker departures,
       OutcomeSharing outcomeSharing,
       RequestPermits requestPermits,
+      WorkspacePermits workspacePermits,
       TunnelServer tunnelServer,
       LongSupplier nowMs) {}
 
@@ -77,6 +79,7 @@
     this.departures = dependencies.departures();
     this.outcomeSharing = dependencies.outcomeSharing();
     this.requestPermits = dependencies.requestPermits();
+    this.workspacePermits = dependencies.workspacePermits();
     this.tunnelServer = dependencies.tunnelServer();
     this.nowMs = dependencies.nowMs();
     this.random = random;
@@ -200,6 +203,9 @@
     if (request instanceof PeerMessage.PermitRequest permitRequest) {
       return Future.succeededFuture(requestPermits.onRequest(permitRequest));
     }
+    if (request instanceof PeerMessage.WorkspacePermitRequest permitRequest) {
+      return workspacePermits.onRequest(permitRequest);
+    }
     if (request instanceof PeerMessage.TunnelEndRequest endRequest) {
       return Future.succeededFuture(tunnelServer.onRequest(endRequest));
     }
@@ -226,6 +232,8 @@
       recordDeparture(departure);
     } else if (notification instanceof PeerMessage.RequestLimitNote limit) {
       requestPermits.onNote(limit);
+    } else if (notification instanceof PeerMessage.WorkspacePermitReturn returned) {
+      workspacePermits.onReturn(returned);
     } else if (notification instanceof PeerMessage.RequestCrashed crashed) {
       crashQuarantine.recordCrash(
           new Fingerprint(crashed.fingerprint()), new EndpointId(crashed.endpoint()));
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/RequestAdmission.java
@@ -21,6 +21,7 @@
   private final StreamBinding stream;
   private final Fingerprint fingerprint;
   private final TurnReservation reservation;
+  private final QuotaReservation quota;
 
   /**
    * Why a request may not run.
@@ -40,6 +41,7 @@
     this.stream = stream;
     this.fingerprint = fingerprint;
     this.reservation = new TurnReservation(gateway.budgets(), request.metadata());
+    this.quota = new QuotaReservation(gateway, request.workspace());
   }
 
   /** Completes with the reason why the request may not run, or empty if it may. */
@@ -47,6 +49,16 @@
     if (gateway.crashQuarantine().isQuarantined(fingerprint)) {
       return refused(UNAVAILABLE, "request crashed endpoints", 0);
     }
+    if (!quota.isNeeded()) {
+      return admitWithinQuota();
+    }
+    return quota
+        .reserve()
+        .compose(
+            refusal -> refusal.isEmpty() ? admitWithinQuota() : Future.succeededFuture(refusal));
+  }
+
+  private Future<Optional<Refusal>> admitWithinQuota() {
     if (!request.route().kind().isStream()) {
       return ADMITTED;
     }
@@ -83,13 +95,25 @@
                 });
   }
 
+  /** Returns whether the request has waited so long that its permit has to be renewed. */
+  boolean isPermitOutdated() {
+    return quota.isOutdated();
+  }
+
+  /** Renews an outdated permit; completes with the reason if there is none. */
+  Future<Optional<Refusal>> renewPermit() {
+    return quota.renew();
+  }
+
   /**
    * Returns what the request was granted and has not used. Has no effect if nothing was granted.
    *
    * @param service the service that ran the request
    * @param events events that were delivered to the client
+   * @param sent whether the request was sent to any endpoint
    */
-  void settle(String service, int events) {
+  void settle(String service, int events, boolean sent) {
+    quota.settle(sent);
     Optional<ServiceSpec> spec =
         gateway.routingState().table().flatMap(table -> table.service(service));
     reservation.settle(spec.map(ServiceSpec::tokensPerEvent).orElse(0), events);
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmDirectory.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmDirectory.java
@@ -33,6 +33,7 @@
   private boolean registered;
   private long writtenAtMs = Long.MIN_VALUE / 2;
   private boolean deregistered;
+  private boolean storeListed;
 
   VmDirectory(VmEntry self, StoreClient store, InstantSource clock, DecisionLog log) {
     this.self = self;
@@ -72,6 +73,13 @@
     }
   }
 
+  /**
+   * Returns whether the other VMs are known: the store has listed them, or a peer has named some.
+   */
+  boolean isListed() {
+    return storeListed || vms.size() > 1;
+  }
+
   /** Returns whether this VM has removed its entry from the store because it is stopping. */
   boolean isDeregistered() {
     return deregistered;
@@ -105,6 +113,7 @@
       }
     }
     registered = selfListed;
+    storeListed = true;
     register();
   }
 
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/MessageType.java
@@ -45,7 +45,10 @@
   PERMIT_REPLY(53, PeerMessage.PermitReply.class),
   REQUEST_LIMIT(54, PeerMessage.RequestLimitNote.class),
   TUNNEL_END_REQUEST(55, PeerMessage.TunnelEndRequest.class),
-  TUNNEL_END_REPLY(56, PeerMessage.TunnelEndReply.class);
+  TUNNEL_END_REPLY(56, PeerMessage.TunnelEndReply.class),
+  WORKSPACE_PERMIT_REQUEST(57, PeerMessage.WorkspacePermitRequest.class),
+  WORKSPACE_PERMIT_REPLY(58, PeerMessage.WorkspacePermitReply.class),
+  WORKSPACE_PERMIT_RETURN(59, PeerMessage.WorkspacePermitReturn.class);
 
   private static final Map<Integer, MessageType> BY_NUMBER =
       Stream.of(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -272,6 +272,50 @@
   record RequestLimitNote(String endpoint, long startedAtMs, boolean limited, double requestsPerS)
       implements PeerMessage {}
 
+  /**
+   * Requests a permit to run a request of a workspace with a quota; sent to VMs of protocol version
+   * 2 and later.
+   *
+   * @param request the request number that matches the response; unique for the connection
+   * @param vm the id of the sender
+   * @param workspace the name of the workspace; empty if the sender only wants to know whether the
+   *     receiver replies
+   * @param configVersion the configuration version that the quota is from
+   * @param permitsPerS the rate of the quota; 0 if there is none
+   * @param burst the burst of the quota
+   * @param forwarded whether another VM forwarded the request to the sender; it is not forwarded
+   *     twice
+   */
+  record WorkspacePermitRequest(
+      long request,
+      String vm,
+      String workspace,
+      long configVersion,
+      double permitsPerS,
+      double burst,
+      boolean forwarded)
+      implements PeerMessage {}
+
+  /**
+   * Responds to {@link WorkspacePermitRequest}.
+   *
+   * @param request the number of the request
+   * @param verdict the name of the decision
+   * @param delayMs the delay after which the request may run, or, if the permit was denied, after
+   *     which the next one would be available
+   * @param issuer the id of the VM that decided
+   */
+  record WorkspacePermitReply(long request, String verdict, long delayMs, String issuer)
+      implements PeerMessage {}
+
+  /**
+   * Returns a permit whose request did not reach an endpoint to the VM that issued it.
+   *
+   * @param workspace the name of the workspace
+   * @param grantedAgoMs time since the permit was granted
+   */
+  record WorkspacePermitReturn(String workspace, long grantedAgoMs) implements PeerMessage {}
+
   /**
    * Asks a relay how a tunnel has ended, before a response is considered complete that ends with
    * its connection.
