Bound the wait for a cancelled stream in CapacityShortageTest

Cause: the test also passed without the cancellation, since the watchdog closes a silent stream after 1.3 s. Change: the connection has to be closed within 1 s.

--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/CapacityShortageTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/CapacityShortageTest.java
@@ -145,7 +145,9 @@
     environment.setNextBehaviour(Behaviour.HANGS);
     environment.disconnectDuring("POST", "/plainstream/x");
 
-    Await.until(
+    // A stream without events is given up after 1.3 s, whether or not its client has left.
+    Await.within(
+        1_000,
         "the connection to the endpoint is closed",
         () ->
             environment.firstEndpoint().abortedRequests()
