--- a/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
+++ b/magnoliaroute-standin/src/main/java/io/magnoliaroute/standin/users/StandinConfiguration.java
@@ -102,20 +102,6 @@
     return json(version, "/other/").replaceFirst("\\{", "{\"tenants\":[" + workspace + "],");
   }
 
-  /**
-   * Returns a configuration with one workspace, whose key all requests need.
-   *
-   * @param permitsPerS the rate of the workspace's quota
-   * @param burst the burst of the workspace's quota
-   */
-  public static String jsonWithWorkspace(
-      long version, String name, String key, double permitsPerS, double burst) {
-    String workspace =
-        "{\"name\":\"%s\",\"api_keys\":[\"%s\"],\"per_s\":%s,\"burst\":%s}"
-            .formatted(name, key, permitsPerS, burst);
-    return json(version, "/other/").replaceFirst("\\{", "{\"tenants\":[" + workspace + "],");
-  }
-
   private static String route(
       String name, String prefix, String kind, int timeoutMs, boolean canResume) {
     return ("{\"name\":\"%s\",\"host\":\"%s\",\"path_prefix\":\"%s\",\"kind\":\"%s\","
