--- a/review/lib-2/Kit2.java
+++ b/review/lib-2/Kit2.java
@@ -40,6 +40,9 @@
   /** Writing calls a second of the store, as the settings of the VMs state it. */
   static int writesPerS = 800;
 
+  /** Tenants of the configuration, as JSON; none if empty. */
+  static String tenants = "";
+
   private static final long START_NS = System.nanoTime();
   private static PrintWriter record;
   private static Path directory;
@@ -474,7 +477,6 @@
     private final long born = System.currentTimeMillis();
     private final AtomicInteger running = new AtomicInteger();
     final List<String> runs = Collections.synchronizedList(new ArrayList<>());
-    final Map<String, byte[]> bodies = Collections.synchronizedMap(new HashMap<>());
     private int seq;
 
     Engine(Store store, String id, String service, String zone) throws IOException {
@@ -539,7 +541,6 @@
         return true;
       }
       runs.add(requestId);
-      bodies.put(requestId, request.body);
       running.incrementAndGet();
       try {
         headers.put("X-Server-Seal", "seal." + id + "." + requestId);
@@ -607,7 +608,9 @@
         + "{\"name\":\"app\",\"health_path\":\"/health\",\"max_conns\":600},"
         + "{\"name\":\"models\",\"health_path\":\"/health\",\"max_conns\":600,\"engine\":{\"slots\":8,\"kv_tokens\":500000,\"stride\":"
         + stride
-        + "}}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+        + "}}],"
+        + (tenants.isEmpty() ? "" : "\"tenants\":" + tenants + ",")
+        + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
   }
 
   // ---------------------------------------------------------------- VMs
@@ -793,6 +796,13 @@
     return answer;
   }
 
+  /** Returns the id of the last complete event of a body, empty if there is none. */
+  static String lastEventId(String body) {
+    int end = body.lastIndexOf("\n\n");
+    int start = end < 0 ? -1 : body.lastIndexOf("id: ", end);
+    return start < 0 ? "" : body.substring(start + 4, body.indexOf('\n', start));
+  }
+
   static String shorten(String text) {
     if (text == null) {
       return "-";
