--- a/review/lib-2/Kit2.java
+++ b/review/lib-2/Kit2.java
@@ -37,12 +37,6 @@
   /** Partitions of a topic, as the settings of the VMs state it. */
   static int parts = 12;
 
-  /** Writing calls a second of the store, as the settings of the VMs state it. */
-  static int writesPerS = 800;
-
-  /** Tenants of the configuration, as JSON; none if empty. */
-  static String tenants = "";
-
   private static final long START_NS = System.nanoTime();
   private static PrintWriter record;
   private static Path directory;
@@ -319,18 +313,6 @@
       return true;
     }
 
-    /** Returns the keys of all records of a topic, over all partitions. */
-    synchronized List<String> keys(String topic) {
-      List<String> keys = new ArrayList<>();
-      partitions.forEach(
-          (name, records) -> {
-            if (name.startsWith(topic + "/")) {
-              records.forEach(each -> keys.add(keyOf(each)));
-            }
-          });
-      return keys;
-    }
-
     private static String keyOf(byte[] content) {
       return new String(content, 1, content[0] & 0xff, StandardCharsets.UTF_8);
     }
@@ -467,13 +449,14 @@
 
   /** A sound engine: serves streams and plain requests, and keeps its entry in the store fresh. */
   static final class Engine {
+    private static final int PLAIN_BYTES = 800;
+
     final String id;
     final int port;
     final String service;
     final String zone;
     volatile int events = 6;
     volatile int gapMs = 5;
-    volatile int plainBytes = 800;
     private final long born = System.currentTimeMillis();
     private final AtomicInteger running = new AtomicInteger();
     final List<String> runs = Collections.synchronizedList(new ArrayList<>());
@@ -548,7 +531,7 @@
           return sendStream(request, headers, out);
         }
         sleep(20);
-        byte[] body = new byte[plainBytes];
+        byte[] body = new byte[PLAIN_BYTES];
         Arrays.fill(body, (byte) 'b');
         out.write(response(200, headers, body));
         return true;
@@ -608,9 +591,7 @@
         + "{\"name\":\"app\",\"health_path\":\"/health\",\"max_conns\":600},"
         + "{\"name\":\"models\",\"health_path\":\"/health\",\"max_conns\":600,\"engine\":{\"slots\":8,\"kv_tokens\":500000,\"stride\":"
         + stride
-        + "}}],"
-        + (tenants.isEmpty() ? "" : "\"tenants\":" + tenants + ",")
-        + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+        + "}}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
   }
 
   // ---------------------------------------------------------------- VMs
@@ -662,9 +643,7 @@
               + "\"bounds\":{\"seed_lag_s\":3,\"reuse_after_s\":2,\"contact_ms\":4000,\"ack_ms\":6000,\"catch_up_s\":6,\"drain_ms\":3000,\"grace_s\":8,\"lost_slack_ms\":200,\"config_ms\":3000,\"rollback_slack_ms\":250,\"skew_max_ms\":6000,\"recover_s\":15,\"pass_ms\":200,\"again_s\":0,\"finish_s\":10,\"settle_ms\":1000},"
               + "\"provider\":{\"addr\":\"127.0.0.1:"
               + store.port
-              + "\",\"form\":\"log\",\"writes_per_s\":"
-              + writesPerS
-              + ",\"reads_per_s\":2000,\"parts\":"
+              + "\",\"form\":\"log\",\"writes_per_s\":800,\"reads_per_s\":2000,\"parts\":"
               + parts
               + ",\"append_ms\":2.0,\"part_mb_s\":20.0,\"read_mb_s\":80.0,\"record_bytes\":262144,\"call_bytes\":2097152,\"keep_s\":300,\"part_mb\":200,\"ttl_min_ms\":1000}}";
       Path file = directory.resolve(name + ".json");
@@ -796,13 +775,6 @@
     return answer;
   }
 
-  /** Returns the id of the last complete event of a body, empty if there is none. */
-  static String lastEventId(String body) {
-    int end = body.lastIndexOf("\n\n");
-    int start = end < 0 ? -1 : body.lastIndexOf("id: ", end);
-    return start < 0 ? "" : body.substring(start + 4, body.indexOf('\n', start));
-  }
-
   static String shorten(String text) {
     if (text == null) {
       return "-";
