Review: scripts exit with 2 if the Java runtime can't start

Cause: a missing class ends Java with 1, which stands for a broken rule. Change: the programs end with 10, the scripts turn it into 1.

--- a/review/lib-2/Kit2.java
+++ b/review/lib-2/Kit2.java
@@ -37,6 +37,7 @@
   /** Partitions of a topic, as the settings of the VMs state it. */
   static int parts = 12;
 
+  private static final int BROKEN = 10;
   private static final long START_NS = System.nanoTime();
   private static PrintWriter record;
   private static Path directory;
@@ -65,7 +66,10 @@
     boolean run() throws Exception;
   }
 
-  /** Runs a case: exit 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. */
+  /**
+   * Runs a case; exits with 0 if the rule held, 10 if it was broken, 2 if the case couldn't run. The
+   * scripts turn 10 into 1, with which a Java runtime ends if it can't start.
+   */
   static void main(String name, Check check) throws Exception {
     Path folder = Path.of(System.getenv().getOrDefault("CASE_DIR", "."));
     record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
@@ -84,7 +88,7 @@
     Runtime.getRuntime().addShutdownHook(new Thread(Kit2::killAll));
     try {
       note("case " + name + ", disruption " + (trouble() ? "on" : "off"));
-      exit = check.run() ? 0 : 1;
+      exit = check.run() ? 0 : BROKEN;
       note("RESULT " + (exit == 0 ? "rule held" : "rule broken"));
     } catch (Exception | AssertionError e) {
       note("RESULT could not run: " + e);
