--- a/review/lib-2/Kit2.java
+++ b/review/lib-2/Kit2.java
@@ -38,6 +38,8 @@
   static int parts = 12;
 
   private static final int BROKEN = 10;
+  private static final java.util.Random RANDOM = new java.util.Random();
+  private static final java.util.Set<Integer> PORTS = new java.util.HashSet<>();
   private static final long START_NS = System.nanoTime();
   private static PrintWriter record;
   private static Path directory;
@@ -132,10 +134,20 @@
     }
   }
 
+  // Ports below those that the kernel gives to outgoing connections, which many runs at once use up.
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int attempt = 0; attempt < 1_000; attempt++) {
+      int port = 15_000 + RANDOM.nextInt(15_000);
+      if (PORTS.add(port)) {
+        try (ServerSocket socket =
+            new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+          return socket.getLocalPort();
+        } catch (java.net.BindException e) {
+          // Another process has it.
+        }
+      }
     }
+    throw new IOException("no free port");
   }
 
   // ---------------------------------------------------------------- HTTP
@@ -459,6 +471,7 @@
     final int port;
     final String service;
     final String zone;
+    final int slots;
     volatile int events = 6;
     volatile int gapMs = 5;
     private final long born = System.currentTimeMillis();
@@ -467,7 +480,12 @@
     private int seq;
 
     Engine(Store store, String id, String service, String zone) throws IOException {
+      this(store, id, service, zone, 8);
+    }
+
+    Engine(Store store, String id, String service, String zone, int slots) throws IOException {
       this.id = id;
+      this.slots = slots;
       this.service = service;
       this.zone = zone;
       this.port = listen(this::handle);
@@ -482,12 +500,17 @@
     }
 
     private synchronized String entry() {
-      return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":%d,\"born\":%d}"
-          .formatted(service, port, zone, ++seq, born);
+      return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":%d,\"born\":%d}"
+          .formatted(service, port, zone, slots, ++seq, born);
     }
 
     private String load() {
-      return running.get() + ",0,8,100";
+      return running.get() + ",0," + slots + ",100";
+    }
+
+    /** Returns the number of requests that run at present. */
+    int running() {
+      return running.get();
     }
 
     private boolean handle(Message request, OutputStream out) throws Exception {
