Kept turns: a VM that has started again is no proof of a 404

Cause: the proof of absence counts every reply "no such record", also of a VM that has forgotten the records of its earlier start. The reply says whether its sender knows the past, but only that of the home which read the store was looked at. The VM that looks up was not asked for its own past, and VMs that are gone from the list of VMs were not asked at all.

Fix: VMs that may hold records register in the topic keyed.turn-holders and remove themselves after a graceful stop that stored everything. The proof needs a reply of each registered holder, which says that its past is known: it has run for the longest retention period of its configurations, or no earlier start left an entry behind. Replies that read the store keep their meaning, since earlier builds decide on these alone; the messages have the same form.

Cost: one listing and one append for each start and graceful stop, one listing for each proof. After a crash, unknown turns get 503 for one retention period.

--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/history/TurnPlacementTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/gateway/history/TurnPlacementTest.java
@@ -152,14 +152,15 @@
     assertFalse(index.isComplete());
   }
 
-  /** Guards against a 404 while any VM that may hold the turn has not replied. */
+  /** Guards against a 404 while any VM that may hold the turn has not replied or has forgotten. */
   @Test
-  @DisplayName("prove an absence only if the store was read and all VMs replied")
+  @DisplayName("prove an absence only if the store was read and all VMs replied and forgot nothing")
   void absence() {
-    assertTrue(new AbsenceProof(true, true, 135, 135).isComplete());
-    assertFalse(new AbsenceProof(true, true, 135, 134).isComplete());
-    assertFalse(new AbsenceProof(false, true, 135, 135).isComplete());
-    assertFalse(new AbsenceProof(true, false, 135, 135).isComplete());
+    assertTrue(new AbsenceProof(true, true, 135, 135, 135).isComplete());
+    assertFalse(new AbsenceProof(true, true, 135, 134, 134).isComplete());
+    assertFalse(new AbsenceProof(true, true, 135, 135, 134).isComplete());
+    assertFalse(new AbsenceProof(false, true, 135, 135, 135).isComplete());
+    assertFalse(new AbsenceProof(true, false, 135, 135, 135).isComplete());
   }
 
   /** Guards against more than a quarter of the store's writes: 2,000/s over 136 VMs. */
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -10,6 +10,7 @@
 import io.magnoliaroute.core.gateway.VmEntry;
 import io.magnoliaroute.core.gateway.admission.ReportedOccupancy;
 import io.magnoliaroute.core.gateway.admission.ServiceAdmission;
+import io.magnoliaroute.core.gateway.history.HolderEntry;
 import io.magnoliaroute.core.settings.HostPort;
 import io.magnoliaroute.platform.BootSettings;
 import io.magnoliaroute.platform.PlatformFormatException;
@@ -232,7 +233,13 @@
   private TurnHistory createTurnHistory(VmEntry self) {
     TurnContext context = new TurnContext(vertx, store, storeHealth, clock, log, metrics);
     TurnPeers turnPeers = new TurnPeers(vertx, self, vmDirectory, peers);
-    return new TurnHistory(context, settings, routingState, turnPeers);
+    RecordHolders holders =
+        new RecordHolders(
+            new HolderEntry(self, Long.toString(random.nextLong(Long.MAX_VALUE))),
+            store,
+            log,
+            vmDirectory::isListedBeforeStart);
+    return new TurnHistory(context, settings, routingState, turnPeers, holders);
   }
 
   private long storeAppendIntervalMs() {
@@ -476,12 +483,16 @@
    * Requests that arrive meanwhile are still answered.
    */
   private void releaseBudgets(long limitMs, Promise<Void> done) {
-    Promise<Void> released = Promise.promise();
-    vertx.setTimer(RELEASE_TIMEOUT_MS, timedOut -> released.tryComplete());
-    allowances.release().onComplete(ignored -> released.tryComplete());
-    released
-        .future()
-        .onComplete(ended -> awaitIdle(clock.millis(), limitMs, () -> completeStop(done)));
+    Runnable complete = () -> withinStopTime(turnHistory.stop(), () -> completeStop(done));
+    withinStopTime(allowances.release(), () -> awaitIdle(clock.millis(), limitMs, complete));
+  }
+
+  // A call to the store that gets no response must not use up the stop's time.
+  private void withinStopTime(Future<Void> call, Runnable next) {
+    Promise<Void> ended = Promise.promise();
+    vertx.setTimer(RELEASE_TIMEOUT_MS, timedOut -> ended.tryComplete());
+    call.onComplete(done -> ended.tryComplete());
+    ended.future().onComplete(done -> next.run());
   }
 
   /** Ends the stop; connections that are still open are closed with the process. */
@@ -535,6 +546,10 @@
     return vmDirectory.size();
   }
 
+  boolean isRecordHolder() {
+    return turnHistory.holders().isRegistered();
+  }
+
   int loadedPartitions() {
     return allowances.loadedPartitions();
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnHistory.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnHistory.java
@@ -58,6 +58,7 @@
   private final TurnContext context;
   private final RoutingState routingState;
   private final TurnPeers peers;
+  private final RecordHolders holders;
   private final InstantSource clock;
   private final DecisionLog log;
   private final GatewayMetrics metrics;
@@ -76,15 +77,21 @@
   private Optional<ReceiveMemoryLimiter> requestMemory = Optional.empty();
   private long runs;
   private boolean handedOver;
+  private long longestRetentionMs;
 
   /** Partitions are listed one by one: the listings of all together would not fit into the heap. */
   private boolean loading;
 
   TurnHistory(
-      TurnContext context, BootSettings settings, RoutingState routingState, TurnPeers peers) {
+      TurnContext context,
+      BootSettings settings,
+      RoutingState routingState,
+      TurnPeers peers,
+      RecordHolders holders) {
     this.context = context;
     this.routingState = routingState;
     this.peers = peers;
+    this.holders = holders;
     this.clock = context.clock();
     this.log = context.log();
     this.metrics = context.metrics();
@@ -140,6 +147,32 @@
     return routingState.table().map(RoutingTable::maxHistoryRetentionMs).orElse(0L);
   }
 
+  /**
+   * Returns the longest retention period that this VM has known. Turns that ended before the
+   * configuration made it shorter may still be continued.
+   */
+  long longestRetentionMs() {
+    longestRetentionMs = Math.max(longestRetentionMs, retentionMs());
+    return longestRetentionMs;
+  }
+
+  RecordHolders holders() {
+    return holders;
+  }
+
+  /**
+   * Returns whether this VM and its earlier starts have lost no record of a turn that is still
+   * kept: it has run for the whole retention period, or its earlier starts had stored all.
+   */
+  boolean isPastKnown() {
+    return holders.hasNoEarlierLoss() || hasRunForRetention();
+  }
+
+  private boolean hasRunForRetention() {
+    long limitMs = longestRetentionMs();
+    return limitMs > 0 && clock.millis() - startedAtMs >= limitMs;
+  }
+
   /** Returns a record that this VM has in memory. */
   Optional<HistoryRecord> findInMemory(String key) {
     return writer.find(key).or(() -> cache.find(key, clock.millis()));
@@ -181,16 +214,21 @@
   /** Returns the records that this VM has; never fails. */
   Future<PeerMessage.HistoryReply> answer(List<String> keys, boolean readsStore) {
     boolean allInMemory = keys.stream().allMatch(key -> findInMemory(key).isPresent());
-    if (allInMemory || !readsStore) {
-      return Future.succeededFuture(reply(keys, false));
+    if (!readsStore) {
+      return Future.succeededFuture(reply(keys, false, isPastKnown()));
+    }
+    // Earlier releases rely on this reply alone, so that it takes a long run of this VM.
+    boolean knowsPast = firstStart || hasRunForRetention();
+    if (allInMemory) {
+      return Future.succeededFuture(reply(keys, false, knowsPast));
     }
     return peers
         .within(READ_LIMIT_MS, readPartitions(keys))
-        .map(isComplete -> reply(keys, isComplete))
-        .otherwise(e -> reply(keys, false));
+        .map(isComplete -> reply(keys, isComplete, knowsPast))
+        .otherwise(e -> reply(keys, false, knowsPast));
   }
 
-  private PeerMessage.HistoryReply reply(List<String> keys, boolean readToEnd) {
+  private PeerMessage.HistoryReply reply(List<String> keys, boolean readToEnd, boolean knowsPast) {
     List<PeerMessage.HistoryItem> items = new ArrayList<>();
     long bytes = 0;
     for (String key : keys) {
@@ -200,9 +238,6 @@
         items.add(TurnPeers.toItem(found.get()));
       }
     }
-    long retentionMs = retentionMs();
-    boolean knowsPast =
-        firstStart || (retentionMs > 0 && clock.millis() - startedAtMs >= retentionMs);
     return new PeerMessage.HistoryReply(0, items, readToEnd, knowsPast);
   }
 
@@ -242,7 +277,7 @@
 
   private boolean hold(HistoryRecord value, long delayMs) {
     Future<Void> stored = writer.add(value, delayMs);
-    return !stored.failed();
+    return !stored.failed() && holders.isRegistered();
   }
 
   private long homeDelayMs(String key) {
@@ -261,6 +296,9 @@
       prepareStop();
     }
     writer.pump();
+    if (longestRetentionMs() > 0 && !peers.isStopping()) {
+      holders.register();
+    }
     if (retentionMs() == 0) {
       return;
     }
@@ -289,6 +327,18 @@
     }
   }
 
+  /**
+   * Removes this VM from the holders if all its records are stored or held by other VMs. Called
+   * once no request is left.
+   */
+  Future<Void> stop() {
+    if (writer.pendingCount() > 0) {
+      log.line("turns_left_unstored").put("records", writer.pendingCount()).write();
+      return Future.succeededFuture();
+    }
+    return holders.deregister();
+  }
+
   private void readOn(TurnPartition partition, boolean deletes) {
     boolean loads = !partition.isLoaded();
     if (loads && loading) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnKeeper.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnKeeper.java
@@ -104,8 +104,8 @@
       }
       VmEntry home = homes.get(nextHome++);
       if (peers.isSelf(home)) {
-        isHome = queued;
-        onReply(queued);
+        isHome = queued && history.holders().isRegistered();
+        onReply(isHome);
         return;
       }
       boolean storesNow = otherHolders == 0 && !isHome && !writer.isAppending(value.key());
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnLookup.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnLookup.java
@@ -180,8 +180,16 @@
         return Future.failedFuture("too many unknown turns");
       }
       source = "other_vm";
-      List<VmEntry> others = peers.others();
-      others.removeIf(vm -> peers.unreachableForMs(vm) > history.retentionMs());
+      return history
+          .holders()
+          .list()
+          .map(holders -> history.holders().others(peers.others(), holders))
+          .compose(this::askHolders);
+    }
+
+    private Future<Result> askHolders(List<VmEntry> holders) {
+      List<VmEntry> others = new ArrayList<>(holders);
+      others.removeIf(vm -> peers.unreachableForMs(vm) > history.longestRetentionMs());
       List<Future<PeerMessage.HistoryReply>> asked = new ArrayList<>();
       for (VmEntry vm : others) {
         if (peers.isReachable(vm)) {
@@ -192,22 +200,26 @@
           .otherwiseEmpty()
           .compose(
               joined -> {
-                int replies = (int) asked.stream().filter(Future::succeeded).count();
+                List<PeerMessage.HistoryReply> replies =
+                    asked.stream().filter(Future::succeeded).map(Future::result).toList();
                 return find(key).isPresent() ? collect(0) : askAgain(others.size(), replies);
               });
     }
 
     // A record that another VM held may have been stored before that VM was asked, so the store has
     // to be read after that.
-    private Future<Result> askAgain(int vms, int replies) {
+    private Future<Result> askAgain(int vms, List<PeerMessage.HistoryReply> replies) {
       return askHomes(List.of(key))
           .compose(
               reply -> {
                 if (add(reply)) {
                   return collect(0);
                 }
+                int pastKnown =
+                    (int) replies.stream().filter(PeerMessage.HistoryReply::knowsPast).count();
                 AbsenceProof proof =
-                    new AbsenceProof(reply.readToEnd(), reply.knowsPast(), vms, replies);
+                    new AbsenceProof(
+                        reply.readToEnd(), history.isPastKnown(), vms, replies.size(), pastKnown);
                 if (!proof.isComplete()) {
                   return Future.failedFuture("not proven: " + proof);
                 }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPartition.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPartition.java
@@ -182,8 +182,7 @@
             })
         .onFailure(
             e -> {
-              if (e instanceof StoreException failure
-                  && failure.kind() == StoreException.Kind.CONFLICT) {
+              if (StoreException.isConflict(e)) {
                 readToEnd().onSuccess(read -> deleteExpired(mayCall));
               }
             });
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPeers.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/TurnPeers.java
@@ -83,7 +83,7 @@
     return peers.unreachableForMs(vm.address());
   }
 
-  /** Returns all other VMs that know the messages of kept turns. */
+  /** Returns all other registered VMs that know the messages of kept turns. */
   List<VmEntry> others() {
     List<VmEntry> others = new ArrayList<>();
     for (VmEntry vm : vmDirectory.all()) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmDirectory.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/VmDirectory.java
@@ -23,6 +23,8 @@
   /** Limits the rate of writes when another writer keeps changing this VM's entry. */
   private static final long MIN_WRITE_INTERVAL_MS = 1_000;
 
+  private static final long NOT_WRITTEN = Long.MIN_VALUE / 2;
+
   private final VmEntry self;
   private final StoreClient store;
   private final InstantSource clock;
@@ -31,9 +33,10 @@
   private final Map<VmId, VmEntry> departed = new HashMap<>();
   private long revision;
   private boolean registered;
-  private long writtenAtMs = Long.MIN_VALUE / 2;
+  private long writtenAtMs = NOT_WRITTEN;
   private boolean deregistered;
   private boolean storeListed;
+  private boolean listedBeforeStart = true;
 
   VmDirectory(VmEntry self, StoreClient store, InstantSource clock, DecisionLog log) {
     this.self = self;
@@ -80,6 +83,14 @@
     return storeListed || vms.size() > 1;
   }
 
+  /**
+   * Returns whether the store listed an entry of an earlier start of this VM, which has not stopped
+   * gracefully; true while this is not known.
+   */
+  boolean isListedBeforeStart() {
+    return listedBeforeStart;
+  }
+
   /** Returns whether this VM has removed its entry from the store because it is stopping. */
   boolean isDeregistered() {
     return deregistered;
@@ -100,6 +111,7 @@
   public void onListing(StoreClient.Listing listing) {
     List<VmId> listed = new ArrayList<>();
     boolean selfListed = false;
+    boolean isFirstListing = !storeListed && !hasWritten();
     for (StoreRecord record : listing.records()) {
       Optional<VmEntry> entry = apply(record);
       entry.ifPresent(present -> listed.add(present.vm()));
@@ -113,6 +125,9 @@
       }
     }
     registered = selfListed;
+    if (isFirstListing) {
+      listedBeforeStart = listed.contains(self.vm());
+    }
     storeListed = true;
     register();
   }
@@ -155,6 +170,10 @@
     }
   }
 
+  private boolean hasWritten() {
+    return writtenAtMs != NOT_WRITTEN;
+  }
+
   /** Writes this VM's entry if it is missing from the store or differs there. */
   void register() {
     if (registered || deregistered || clock.millis() - writtenAtMs < MIN_WRITE_INTERVAL_MS) {
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsEnvironment.java
@@ -64,20 +64,26 @@
   private void startVms(int count, boolean firstStart) {
     List<HostPort> seeds = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      Vertx runtime = TestRuntime.singleLoopVertx();
-      TestVm options = new TestVm("vm-" + i, i % 2 == 0 ? "dc" : "dc2", storePort, seeds);
-      GatewayNode node = (firstStart ? options : options.asRestart()).start(runtime);
-      vms.add(new Vm(runtime, node));
-      seeds.add(new HostPort("127.0.0.1", node.peerPort()));
-    }
-    for (Vm each : vms) {
-      Await.until(
-          "the VM is ready",
-          () -> each.ended || TestRuntime.read(each.runtime, each.node::isReady));
-      Await.until(
-          "all VMs know each other",
-          () -> each.ended || TestRuntime.read(each.runtime, each.node::knownVms) >= count);
+      Vm vm = startVm(i, seeds, firstStart);
+      vms.add(vm);
+      seeds.add(new HostPort("127.0.0.1", vm.node.peerPort()));
     }
+    vms.forEach(each -> awaitReady(each, count));
+  }
+
+  private Vm startVm(int number, List<HostPort> seeds, boolean firstStart) {
+    Vertx runtime = TestRuntime.singleLoopVertx();
+    TestVm options = new TestVm("vm-" + number, number % 2 == 0 ? "dc" : "dc2", storePort, seeds);
+    return new Vm(runtime, (firstStart ? options : options.asRestart()).start(runtime));
+  }
+
+  private static void awaitReady(Vm vm, int count) {
+    Await.until("the VM is ready", () -> TestRuntime.read(vm.runtime, vm.node::isReady));
+    Await.until(
+        "all VMs know each other", () -> TestRuntime.read(vm.runtime, vm.node::knownVms) >= count);
+    Await.until(
+        "the VM is registered as a holder of records",
+        () -> TestRuntime.read(vm.runtime, vm.node::isRecordHolder));
   }
 
   StandinStore store() {
@@ -98,6 +104,18 @@
     startVms(count, false);
   }
 
+  /** Starts a VM that has ended again, under the same name and at another address. */
+  void restart(int number) {
+    List<HostPort> seeds = new ArrayList<>();
+    for (Vm each : vms) {
+      if (!each.ended) {
+        seeds.add(new HostPort("127.0.0.1", each.node.peerPort()));
+      }
+    }
+    vms.set(number, startVm(number, seeds, false));
+    awaitReady(vms.get(number), vms.size());
+  }
+
   /** Blocks the event loop of a VM until the result runs. */
   Runnable pause(int vm) {
     return TestRuntime.pause(vms.get(vm).runtime);
@@ -193,6 +211,10 @@
     return count.results().mapToInt(each -> Integer.parseInt(each.group(1))).sum();
   }
 
+  int knownVms(int vm) {
+    return TestRuntime.read(vms.get(vm).runtime, vms.get(vm).node::knownVms);
+  }
+
   boolean seesStoreUnavailable(int vm) {
     return TestRuntime.read(vms.get(vm).runtime, vms.get(vm).node::isStoreUnavailable);
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/KeptTurnsTest.java
@@ -144,6 +144,65 @@
     assertEquals(503, environment.sendAfter(0, "t2", "t1", "two "));
   }
 
+  /** Guards against a 404 for turns that only VMs held that were killed and started again. */
+  @Test
+  @DisplayName("responds with 503 to an unknown turn after any VM was killed and started again")
+  void notProvenAfterOneVmWasKilled() {
+    environment = new KeptTurnsEnvironment(3);
+    environment.kill(2);
+    environment.restart(2);
+
+    for (int vm = 0; vm < 3; vm++) {
+      assertEquals(503, environment.sendAfter(vm, "t" + vm, "none", "two "), "at VM " + vm);
+    }
+  }
+
+  /** Guards against a 404 for turns held by VMs whose addresses and names others then took over. */
+  @Test
+  @DisplayName("responds with 503 while a VM is gone that had left the list with unstored records")
+  void notProvenWithoutDepartedVm() {
+    environment = new KeptTurnsEnvironment(3);
+    assertEquals(404, environment.sendAfter(0, "t1", "none", "two "));
+    environment.kill(2);
+    environment.store().put("keyed.vms", "vm-2", "");
+    Await.until("VM 2 has left the list", () -> environment.knownVms(0) == 2);
+
+    assertEquals(503, environment.sendAfter(0, "t2", "none", "two "));
+  }
+
+  /** Guards against clients that are sent away for a minute after each planned restart. */
+  @Test
+  @DisplayName(
+      "responds with 404 to an unknown turn after all VMs were stopped and started in turn")
+  void provenAfterPlannedRestarts() {
+    environment = new KeptTurnsEnvironment(3);
+    for (int vm = 0; vm < 3; vm++) {
+      environment.stopGracefully(vm);
+      environment.restart(vm);
+    }
+
+    for (int vm = 0; vm < 3; vm++) {
+      int asking = vm;
+      Await.until(
+          "VM " + vm + " reaches the others",
+          () -> environment.sendAfter(asking, "t" + asking, "none", "two ") == 404);
+    }
+  }
+
+  /** Guards against a stop in an outage after which the lost records are not missed. */
+  @Test
+  @DisplayName("responds with 503 to an unknown turn after a VM stopped with unstored records")
+  void notProvenAfterUnstoredStop() {
+    environment = new KeptTurnsEnvironment(1);
+    environment.store().setFault(Fault.SILENT);
+    assertEquals(200, environment.send(0, "t1", "one "));
+    environment.stopGracefully(0);
+    environment.store().setFault(Fault.NONE);
+    environment.restart(0);
+
+    assertEquals(503, environment.sendAfter(0, "t2", "t1", "two "));
+  }
+
   /** Guards against turns that are in memory only. */
   @Test
   @DisplayName("continues a chain after all VMs were killed")
--- a/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
+++ b/magnoliaroute-wire/src/main/java/io/magnoliaroute/wire/PeerMessage.java
@@ -416,7 +416,9 @@
    * @param records the records that the sender has
    * @param readToEnd whether the sender read the partitions of all keys to the end after it got the
    *     request, so that the store has no other records of these keys
-   * @param knowsPast whether the sender has run for the whole retention period
+   * @param knowsPast whether the sender has lost no record within the retention period. Replies
+   *     that read the store say so only if it has run for the whole period, or since the first
+   *     start of the system: earlier releases rely on such a reply alone
    */
   record HistoryReply(long request, List<HistoryItem> records, boolean readToEnd, boolean knowsPast)
       implements PeerMessage {
