Token budgets: a stopping VM releases its slices whatever others append

Cause: the release took the unspent tokens out of this VM's accounts, then appended once, on the condition that the partition still ended where this VM had read it last. Since the begin of the stop other VMs decide and append, so the store answers 412, nothing tries again, and the rest of each slice counts as spent.

Fix: the release is made from the newest records, and repeated after a conflict, a refusal or a lost response, until the limit of the stop. The accounts change only with the records. While it is in doubt whether a release has taken effect, its tokens cannot be reserved; since it is appended at one offset alone, that ends as soon as the partition goes on. What requests leave unspent during the release is released before the exit. The accounts of a partition are in a class of their own.

The sequences of AllowanceSequencesTest contain releases, with and without their responses.

--- a/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
+++ b/magnoliaroute-core/src/main/java/io/magnoliaroute/core/allowance/AllowancePartition.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -60,27 +58,21 @@
   /** Maximum number of programs in one append; keeps a call far below the store's limit. */
   private static final int MAX_RECORDS_PER_APPEND = 500;
 
+  private static final long NO_RELEASE = -1;
+
   private final String holder;
   private final Map<String, Account> accounts = new HashMap<>();
   private boolean loaded;
   private long end;
+
+  /** The offset at which a release takes effect that may still do so. */
+  private long releaseOffset = NO_RELEASE;
+
+  private boolean earlierReleaseInDoubt;
+
   private long confirmedAtMs;
   private boolean appending;
 
-  private static final class Account {
-    private long budget;
-    private long maxTurnTokens;
-    private long granted;
-    private long ownGranted;
-    private long ownUsed;
-    private long reportedUsed;
-    private boolean sliceNeeded;
-    private String lastGranter = "";
-    private final Map<String, ReportedUse> unrecordedByHolder = new HashMap<>();
-    private final Set<String> endedHolders = new HashSet<>();
-    private long lastUsedAtMs;
-  }
-
   /**
    * A conditional append: the caller appends the records only if the partition ends at the expected
    * offset.
@@ -107,6 +99,11 @@
     this.holder = holder;
   }
 
+  /** Returns whether an append is in progress. */
+  public boolean isAppending() {
+    return appending;
+  }
+
   /** Returns whether the view has been loaded from the store. */
   public boolean isLoaded() {
     return loaded;
@@ -129,14 +126,14 @@
   }
 
   /**
-   * Returns the holder of the program's most recent slice, or empty if there is none or it is this
-   * view's own holder.
+   * Returns the other holder of the program's most recent slice that may have unspent tokens in it,
+   * or empty if there is none.
    */
-  public Optional<String> newestSliceHolder(String program) {
+  public Optional<String> otherSliceHolder(String program) {
     Account account = accounts.get(program);
-    return account == null || account.lastGranter.isEmpty() || account.lastGranter.equals(holder)
+    return account == null || account.otherHolder.isEmpty()
         ? Optional.empty()
-        : Optional.of(account.lastGranter);
+        : Optional.of(account.otherHolder);
   }
 
   /** Returns the name of this view's holder. */
@@ -150,7 +147,7 @@
         .anyMatch(
             account ->
                 account.sliceNeeded
-                    || ownUnrecorded(account) > 0
+                    || account.ownUnrecorded() > 0
                     || !account.endedHolders.isEmpty());
   }
 
@@ -168,9 +165,25 @@
    */
   public void applyRecords(List<Grant> records, long newEnd, long nowMs) {
     records.forEach(grant -> apply(grant, nowMs));
+    advanceTo(newEnd, nowMs);
+    appending = false;
+  }
+
+  // A release is appended at one offset alone, so it cannot take effect beyond that.
+  private void advanceTo(long newEnd, long nowMs) {
     end = Math.max(end, newEnd);
     confirmedAtMs = nowMs;
-    appending = false;
+    if (end > releaseOffset) {
+      concludeRelease();
+    }
+  }
+
+  private void concludeRelease() {
+    if (releaseOffset != NO_RELEASE) {
+      accounts.values().forEach(account -> account.releasing = 0);
+      releaseOffset = NO_RELEASE;
+      earlierReleaseInDoubt = false;
+    }
   }
 
   /**
@@ -181,13 +194,12 @@
    */
   public ReservationResult reserve(String program, long budgetTokens, long turnTokens, long nowMs) {
     Account account = account(program, budgetTokens, turnTokens, nowMs);
-    if (account.ownUsed + turnTokens <= account.ownGranted) {
-      account.ownUsed += turnTokens;
+    if (account.reserveOwn(turnTokens, nowMs)) {
       account.sliceNeeded |=
-          account.ownGranted - account.ownUsed < turnTokens && availableTokens(account) > 0;
+          account.ownGranted - account.ownUsed < turnTokens && account.availableTokens() > 0;
       return ReservationResult.GRANTED;
     }
-    if (account.ownGranted - account.ownUsed + availableTokens(account) < turnTokens) {
+    if (account.ownGranted - account.ownUsed + account.availableTokens() < turnTokens) {
       return ReservationResult.EXHAUSTED;
     }
     account.sliceNeeded = true;
@@ -240,7 +252,7 @@
   public void adoptUse(String program, long usedTokens, long nowMs) {
     Account account = accounts.computeIfAbsent(program, name -> new Account());
     account.lastUsedAtMs = nowMs;
-    account.ownUsed += Math.max(0, usedTokens - knownUse(account));
+    account.ownUsed += Math.max(0, usedTokens - account.knownUse());
   }
 
   /**
@@ -249,8 +261,8 @@
    */
   public void assumeForgottenUse(String program, long budgetTokens, long turnTokens, long nowMs) {
     Account account = account(program, budgetTokens, turnTokens, nowMs);
-    if (isLarge(account)) {
-      long forgotten = Math.min(ungranted(account), offlineLimit(account, turnTokens, 1));
+    if (account.isLarge()) {
+      long forgotten = Math.min(account.ungranted(), account.offlineLimit(turnTokens, 1));
       account.ownUsed += Math.max(0, forgotten);
     }
   }
@@ -274,29 +286,6 @@
         });
   }
 
-  /**
-   * The use of a program's budget that a holder has reported.
-   *
-   * @param usedTokens tokens used by all holders, as far as the reporting holder knew
-   * @param unrecordedTokens tokens that the reporting holder had used beyond its slices
-   */
-  public record ReportedUse(long usedTokens, long unrecordedTokens) {
-
-    /**
-     * Returns whether a record of the same holder was written after the report. A holder that uses
-     * more than its slices has used all that was granted, so what it has used besides tells how
-     * much was granted when it reported.
-     */
-    boolean isCoveredBy(long grantedTokens) {
-      return grantedTokens > usedTokens - unrecordedTokens;
-    }
-
-    /** Returns the report of the larger use. */
-    public ReportedUse max(ReportedUse other) {
-      return other.unrecordedTokens > unrecordedTokens ? other : this;
-    }
-  }
-
   /** Returns the use of each holder that no record covers, by the name of the holder. */
   public Map<String, Long> unrecordedUse(String program) {
     Account account = accounts.get(program);
@@ -305,8 +294,8 @@
     }
     Map<String, Long> unrecorded = new HashMap<>();
     account.unrecordedByHolder.forEach((name, use) -> unrecorded.put(name, use.unrecordedTokens()));
-    if (ownUnrecorded(account) > 0) {
-      unrecorded.put(holder, ownUnrecorded(account));
+    if (account.ownUnrecorded() > 0) {
+      unrecorded.put(holder, account.ownUnrecorded());
     }
     return Map.copyOf(unrecorded);
   }
@@ -314,19 +303,20 @@
   /** Returns the tokens that this holder has used for a program beyond its recorded slices. */
   public long unrecordedTokens(String program) {
     Account account = accounts.get(program);
-    return account == null ? 0 : ownUnrecorded(account);
+    return account == null ? 0 : account.ownUnrecorded();
   }
 
   /** Returns the tokens known to be used by a program; running turns count with their maximum. */
   public long usedTokens(String program) {
     Account account = accounts.get(program);
-    return account == null ? 0 : usedTokens(account);
+    return account == null ? 0 : account.usedTokens();
   }
 
   /**
    * Reserves the maximum number of tokens of a turn from the slices that this holder already owns,
    * on behalf of a VM whose view counts these slices as spent. The slices stay with this holder
-   * regardless of which holder decides now and of whether the store is available.
+   * regardless of which holder decides now and of whether the store is available. Waits while the
+   * slices are being released.
    */
   public ReservationResult reserveFromOwnSlices(String program, long turnTokens, long nowMs) {
     Account account = accounts.get(program);
@@ -334,8 +324,9 @@
       return ReservationResult.EXHAUSTED;
     }
     account.lastUsedAtMs = nowMs;
-    account.ownUsed += turnTokens;
-    return ReservationResult.GRANTED;
+    return account.reserveOwn(turnTokens, nowMs)
+        ? ReservationResult.GRANTED
+        : ReservationResult.WAIT;
   }
 
   /** Reserves the maximum number of tokens of a turn while the store is unavailable. */
@@ -353,15 +344,15 @@
   public ReservationResult reserveOffline(
       String program, long budgetTokens, long turnTokens, int deciders, long nowMs) {
     Account account = account(program, budgetTokens, turnTokens, nowMs);
-    if (usedTokens(account) + turnTokens > account.budget) {
+    if (account.usedTokens() + turnTokens > account.budget) {
       return ReservationResult.EXHAUSTED;
     }
-    long unrecorded =
-        account.ownUsed + turnTokens - account.ownGranted + unrecordedByOthers(account);
-    if (unrecorded > offlineLimit(account, turnTokens, deciders)) {
+    long ownSlices = account.ownGranted - account.releasing;
+    long unrecorded = account.ownUsed + turnTokens - ownSlices + account.unrecordedByOthers();
+    if (unrecorded > account.offlineLimit(turnTokens, deciders)) {
       return ReservationResult.WAIT;
     }
-    account.reportedUsed = usedTokens(account) + turnTokens;
+    account.reportedUsed = account.usedTokens() + turnTokens;
     account.ownUsed += turnTokens;
     return ReservationResult.GRANTED;
   }
@@ -402,8 +393,8 @@
       // available to the holder that decides now.
       long amount =
           account.sliceNeeded
-              ? nextSliceTokens(account)
-              : Math.min(ungranted(account), ownUnrecorded(account));
+              ? account.nextSliceTokens()
+              : Math.min(account.ungranted(), account.ownUnrecorded());
       if (grants.size() < MAX_RECORDS_PER_APPEND) {
         long granted = addTakenOverUse(each.getKey(), account, grants);
         if (amount > 0) {
@@ -440,32 +431,78 @@
       apply(grant, nowMs);
     }
     append.expiredPrograms().forEach(accounts::remove);
-    end = newEnd;
-    confirmedAtMs = nowMs;
+    advanceTo(newEnd, nowMs);
   }
 
-  /** Abandons the append in progress; it must be certain that it did not and will not happen. */
+  /**
+   * Abandons the append in progress. It must be certain that it did not and will not happen, unless
+   * it grants slices to this holder alone.
+   */
   public void appendFailed() {
     appending = false;
   }
 
+  /** Abandons the release in progress; it must be certain that it did not and will not happen. */
+  public void releaseFailed() {
+    appending = false;
+    if (!earlierReleaseInDoubt) {
+      concludeRelease();
+    }
+  }
+
   /**
-   * Releases the unspent part of this holder's slices and returns the records that credit it to the
-   * budgets again. Running turns keep their reservations.
+   * Returns the append that credits the unspent part of this holder's slices to the budgets again,
+   * and marks it as in progress; empty if there is none, the view is not loaded or another append
+   * is in progress. The tokens cannot be reserved until the outcome of the append is known. Running
+   * turns keep their reservations.
+   *
+   * @param idleMs leaves out programs for which tokens were reserved from own slices within this
+   *     time
    */
-  public List<Grant> release() {
+  public Optional<Append> nextRelease(long idleMs, long nowMs) {
+    if (!loaded || appending) {
+      return Optional.empty();
+    }
     List<Grant> grants = new ArrayList<>();
     for (Map.Entry<String, Account> each : accounts.entrySet()) {
       Account account = each.getValue();
-      long unspent = account.ownGranted - account.ownUsed;
-      account.sliceNeeded = false;
-      if (unspent > 0) {
-        grants.add(new Grant(each.getKey(), account.granted - unspent, holder));
-        account.ownGranted -= unspent;
-        account.granted -= unspent;
+      boolean isIdle = nowMs - account.ownReservedAtMs >= idleMs;
+      if (isIdle && account.unspentTokens() > 0 && grants.size() < MAX_RECORDS_PER_APPEND) {
+        grants.add(beginRelease(each.getKey(), account));
       }
     }
-    return grants;
+    return toRelease(grants);
+  }
+
+  /** Returns the next release as above, of one program's slices. */
+  public Optional<Append> nextRelease(String program) {
+    Account account = accounts.get(program);
+    if (!loaded || appending || account == null || account.unspentTokens() <= 0) {
+      return Optional.empty();
+    }
+    return toRelease(List.of(beginRelease(program, account)));
+  }
+
+  private Grant beginRelease(String program, Account account) {
+    account.releasing = account.unspentTokens();
+    account.sliceNeeded = false;
+    return new Grant(program, account.granted - account.releasing, holder);
+  }
+
+  private Optional<Append> toRelease(List<Grant> grants) {
+    if (grants.isEmpty()) {
+      return Optional.empty();
+    }
+    appending = true;
+    earlierReleaseInDoubt = releaseOffset != NO_RELEASE;
+    releaseOffset = end;
+    return Optional.of(new Append(end, grants, List.of()));
+  }
+
+  /** Returns the tokens of this holder's slices that no turn has used or reserved. */
+  public long unspentTokens(String program) {
+    Account account = accounts.get(program);
+    return account == null ? 0 : Math.max(0, account.unspentTokens());
   }
 
   private void apply(Grant grant, long nowMs) {
@@ -474,6 +511,9 @@
       account.ownGranted += grant.grantedTokens() - account.granted;
       account.sliceNeeded = false;
     }
+    if (!grant.holder().equals(holder)) {
+      account.otherHolder = grant.grantedTokens() < account.granted ? "" : grant.holder();
+    }
     account.granted = grant.grantedTokens();
     account.lastGranter = grant.holder();
     // A record that is older than the holder's last report does not cover it.
@@ -492,55 +532,4 @@
     account.lastUsedAtMs = nowMs;
     return account;
   }
-
-  private static boolean isLarge(Account account) {
-    return account.budget >= LARGE_BUDGET_TURNS * account.maxTurnTokens;
-  }
-
-  private static long offlineLimit(Account account, long turnTokens, int deciders) {
-    long minimum = OFFLINE_TURNS * turnTokens;
-    if (!isLarge(account)) {
-      return minimum;
-    }
-    long limit = account.budget / OFFLINE_BUDGET_DIVISOR;
-    if (deciders > 1) {
-      limit = Math.min(limit, ungranted(account) / deciders);
-    }
-    return Math.max(minimum, limit);
-  }
-
-  private static long nextSliceTokens(Account account) {
-    long regular =
-        Math.max(MIN_SLICE_TURNS * account.maxTurnTokens, account.budget / SLICES_PER_BUDGET);
-    long unrecordedUse = Math.min(ungranted(account), ownUnrecorded(account));
-    return Math.max(unrecordedUse, Math.min(availableTokens(account), regular));
-  }
-
-  private static long ownUnrecorded(Account account) {
-    return Math.max(0, account.ownUsed - account.ownGranted);
-  }
-
-  private static long usedTokens(Account account) {
-    return Math.max(knownUse(account), account.reportedUsed);
-  }
-
-  private static long knownUse(Account account) {
-    return account.granted - account.ownGranted + account.ownUsed + unrecordedByOthers(account);
-  }
-
-  private static long ungranted(Account account) {
-    return account.budget - account.granted;
-  }
-
-  private static long unrecordedByOthers(Account account) {
-    long sum = 0;
-    for (ReportedUse each : account.unrecordedByHolder.values()) {
-      sum += each.unrecordedTokens();
-    }
-    return sum;
-  }
-
-  private static long availableTokens(Account account) {
-    return ungranted(account) - unrecordedByOthers(account);
-  }
 }
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowancePartitionTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowancePartitionTest.java
@@ -172,8 +172,8 @@
       record(holder);
       other.load(List.of(new Grant(PROGRAM, 3 * TURN_TOKENS, "vm-1/1")), 1, 0);
 
-      assertEquals(Optional.of("vm-1/1"), other.newestSliceHolder(PROGRAM));
-      assertEquals(Optional.empty(), holder.newestSliceHolder(PROGRAM));
+      assertEquals(Optional.of("vm-1/1"), other.otherSliceHolder(PROGRAM));
+      assertEquals(Optional.empty(), holder.otherSliceHolder(PROGRAM));
       for (int turn = 0; turn < 3; turn++) {
         assertEquals(
             ReservationResult.GRANTED, holder.reserveFromOwnSlices(PROGRAM, TURN_TOKENS, 0));
@@ -193,7 +193,79 @@
 
       reserve(holder);
 
-      assertEquals(List.of(new Grant(PROGRAM, TURN_TOKENS, "vm-1/1")), holder.release());
+      AllowancePartition.Append release = holder.nextRelease(0, 0).orElseThrow();
+      assertEquals(List.of(new Grant(PROGRAM, TURN_TOKENS, "vm-1/1")), release.grants());
+      holder.appendSucceeded(release, 2, 0);
+      assertEquals(Optional.empty(), holder.nextRelease(0, 0));
+    }
+
+    @Test
+    @DisplayName("releases by the newest records after other holders have appended theirs")
+    void releaseAfterConflict() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      record(holder);
+      reserve(holder);
+      assertTrue(holder.nextRelease(0, 0).isPresent());
+
+      holder.applyRecords(List.of(new Grant(PROGRAM, 6 * TURN_TOKENS, "vm-2/1")), 2, 0);
+
+      AllowancePartition.Append second = holder.nextRelease(0, 0).orElseThrow();
+      assertEquals(2, second.expectedEnd());
+      assertEquals(List.of(new Grant(PROGRAM, 4 * TURN_TOKENS, "vm-1/1")), second.grants());
+    }
+
+    @Test
+    @DisplayName("grants no tokens of a release that may still take effect")
+    void releaseInDoubt() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      record(holder);
+      reserve(holder);
+      AllowancePartition.Append lost = holder.nextRelease(0, 0).orElseThrow();
+
+      holder.applyRecords(List.of(), 1, 0);
+      assertEquals(ReservationResult.WAIT, holder.reserveFromOwnSlices(PROGRAM, TURN_TOKENS, 0));
+      holder.applyRecords(lost.grants(), 2, 0);
+
+      assertEquals(
+          ReservationResult.EXHAUSTED, holder.reserveFromOwnSlices(PROGRAM, TURN_TOKENS, 0));
+    }
+
+    @Test
+    @DisplayName("grants the tokens of a release that has failed")
+    void failedRelease() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      record(holder);
+      reserve(holder);
+      assertTrue(holder.nextRelease(0, 0).isPresent());
+
+      holder.releaseFailed();
+
+      assertEquals(ReservationResult.GRANTED, holder.reserveFromOwnSlices(PROGRAM, TURN_TOKENS, 0));
+    }
+
+    @Test
+    @DisplayName("keeps the slices of programs that still use them, if only idle ones are released")
+    void releaseOfIdleSlices() {
+      holder.load(List.of(), 0, 0);
+      reserve(holder);
+      record(holder);
+      reserve(holder);
+
+      assertEquals(Optional.empty(), holder.nextRelease(1_000, 999));
+      assertEquals(1, holder.nextRelease(1_000, 1_000).orElseThrow().grants().size());
+    }
+
+    @Test
+    @DisplayName("does not name a holder that has released its slice")
+    void releasedSliceHasNoHolder() {
+      other.load(List.of(new Grant(PROGRAM, 3 * TURN_TOKENS, "vm-1/1")), 1, 0);
+
+      other.applyRecords(List.of(new Grant(PROGRAM, TURN_TOKENS, "vm-1/1")), 2, 0);
+
+      assertEquals(Optional.empty(), other.otherSliceHolder(PROGRAM));
     }
   }
 
@@ -405,9 +477,7 @@
       holder.load(List.of(SLICE), 1, 0);
       for (int i = 0; i < 2; i++) {
         holder.applyRecoveredUse(
-            PROGRAM,
-            Map.of("vm-2/1", new AllowancePartition.ReportedUse(7 * TURN_TOKENS, 4 * TURN_TOKENS)),
-            0);
+            PROGRAM, Map.of("vm-2/1", new ReportedUse(7 * TURN_TOKENS, 4 * TURN_TOKENS)), 0);
       }
 
       assertEquals(1, countGrantedTurns(holder));
--- a/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowanceSequencesTest.java
+++ b/magnoliaroute-core/src/test/java/io/magnoliaroute/core/allowance/AllowanceSequencesTest.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Label;
 import net.jqwik.api.Property;
@@ -47,7 +48,7 @@
   @Property(tries = 2_000, seed = "20261204")
   @Label("a program that requests turns without end receives no more than its budget")
   void budgetIsNotExceeded(
-      @ForAll @Size(min = 1, max = 200) List<@IntRange(min = 0, max = 20) Integer> steps,
+      @ForAll @Size(min = 1, max = 200) List<@IntRange(min = 0, max = 26) Integer> steps,
       @ForAll @IntRange(min = 1, max = 12) int budgetTurns) {
     Store store = new Store();
     List<AllowancePartition> holders = new ArrayList<>();
@@ -62,14 +63,16 @@
       AllowancePartition holder = holders.get(index);
       switch (step / HOLDERS) {
         case 0, 1 -> delivered += runTurn(holder, store, budget);
-        case 2 -> append(holder, store, true);
-        case 3 -> append(holder, store, false);
+        case 2 -> append(holder.nextAppend(0), holder, store, true);
+        case 3 -> append(holder.nextAppend(0), holder, store, false);
         case 4 -> holder.applyRecords(store.from(holder.end()), store.records.size(), 0);
         case 5 ->
             delivered +=
                 holder.reserveFromOwnSlices("p", TURN_TOKENS, 0) == ReservationResult.GRANTED
                     ? TURN_TOKENS
                     : 0;
+        case 6 -> append(holder.nextRelease(0, 0), holder, store, true);
+        case 7 -> append(holder.nextRelease(0, 0), holder, store, false);
         default -> holders.set(index, startHolder(store, index, starts++));
       }
     }
@@ -89,18 +92,20 @@
         : 0;
   }
 
-  private static void append(AllowancePartition holder, Store store, boolean responseReceived) {
-    holder
-        .nextAppend(0)
-        .ifPresent(
-            append -> {
-              boolean appended = store.append(append);
-              if (appended && responseReceived) {
-                holder.appendSucceeded(append, store.records.size(), 0);
-              } else {
-                holder.applyRecords(store.from(holder.end()), store.records.size(), 0);
-              }
-            });
+  private static void append(
+      Optional<AllowancePartition.Append> next,
+      AllowancePartition holder,
+      Store store,
+      boolean responseReceived) {
+    next.ifPresent(
+        append -> {
+          boolean appended = store.append(append);
+          if (appended && responseReceived) {
+            holder.appendSucceeded(append, store.records.size(), 0);
+          } else {
+            holder.applyRecords(store.from(holder.end()), store.records.size(), 0);
+          }
+        });
   }
 
   private static AllowancePartition startHolder(Store store, int index, int start) {
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -2,6 +2,7 @@
 
 import io.magnoliaroute.core.allowance.AllowancePartition;
 import io.magnoliaroute.core.allowance.Grant;
+import io.magnoliaroute.core.allowance.ReportedUse;
 import io.magnoliaroute.core.allowance.ReservationResult;
 import io.magnoliaroute.core.log.MalformedRecordException;
 import io.magnoliaroute.core.model.Bytes;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -88,8 +90,9 @@
   Future<TokenBudgets.Verdict> reserve(
       String program, long budgetTokens, long turnTokens, int deciders, TokenBudgets.Mode mode) {
     if (mode == TokenBudgets.Mode.OWN_SLICE) {
-      return Future.succeededFuture(
-          toVerdict(partition.reserveFromOwnSlices(program, turnTokens, clock.millis())));
+      ReservationResult decision =
+          partition.reserveFromOwnSlices(program, turnTokens, clock.millis());
+      return Future.succeededFuture(toVerdict(decision));
     }
     if (released) {
       return Future.succeededFuture(TokenBudgets.Verdict.UNABLE);
@@ -124,9 +127,9 @@
     return partition.usedTokens(program);
   }
 
-  /** Returns the name of the holder of the program's newest slice, if it is not this one. */
-  Optional<String> newestSliceHolder(String program) {
-    return partition.newestSliceHolder(program);
+  /** Returns the name of another holder that may have unspent tokens of the program. */
+  Optional<String> otherSliceHolder(String program) {
+    return partition.otherSliceHolder(program);
   }
 
   /** Applies the usage that another holder reports. */
@@ -166,7 +169,7 @@
 
   private void applyRecoveredUse(
       String program, long turnTokens, List<PeerMessage.AllowanceReply> replies) {
-    Map<String, AllowancePartition.ReportedUse> reported = new HashMap<>();
+    Map<String, ReportedUse> reported = new HashMap<>();
     long unattributedTokens = 0;
     for (PeerMessage.AllowanceReply reply : replies) {
       if (reply.unrecorded() == null) {
@@ -176,8 +179,8 @@
       for (PeerMessage.UsageNote note : reply.unrecorded()) {
         reported.merge(
             note.holder(),
-            new AllowancePartition.ReportedUse(note.usedTokens(), note.unrecordedTokens()),
-            AllowancePartition.ReportedUse::max);
+            new ReportedUse(note.usedTokens(), note.unrecordedTokens()),
+            ReportedUse::max);
       }
     }
     partition.applyRecoveredUse(program, reported, clock.millis());
@@ -217,32 +220,93 @@
     return joinOrStartLoad(this::load);
   }
 
-  /** Releases the unspent tokens by records in the store, so that other holders can grant them. */
-  Future<Void> release() {
+  /**
+   * Releases the unspent tokens by records in the store, so that other holders can grant them, and
+   * grants none from now on. Retries until the limit.
+   */
+  Future<Void> release(long limitMs) {
     released = true;
-    if (!partition.isLoaded()) {
+    return partition.isLoaded() ? releaseUnspent(limitMs) : Future.succeededFuture();
+  }
+
+  private Future<Void> releaseUnspent(long limitMs) {
+    if (partition.isAppending()) {
+      return retryRelease(limitMs, "an append is in progress");
+    }
+    Optional<AllowancePartition.Append> next = partition.nextRelease(0, clock.millis());
+    if (next.isEmpty()) {
       return Future.succeededFuture();
     }
-    long end = partition.end();
-    List<Grant> grants = partition.release();
-    return grants.isEmpty()
-        ? Future.succeededFuture()
-        : store
-            .append(TOPIC, partitionNumber, Optional.of(end), toRecords(grants, List.of()))
-            .<Void>mapEmpty()
-            .onFailure(
-                e ->
-                    log.line("slices_not_released")
-                        .put("partition", partitionNumber)
-                        .put("programs", grants.size())
-                        .put("cause", String.valueOf(e.getMessage()))
-                        .write());
+    return appendRelease(next.get())
+        .transform(
+            appended -> {
+              if (appended.succeeded()) {
+                return releaseUnspent(limitMs);
+              }
+              return isNotDone(appended.cause())
+                  ? retryRelease(limitMs, appended.cause().getMessage())
+                  : readAndRelease(limitMs, appended.cause());
+            });
+  }
+
+  // The records of other holders have to be read, or whether the release has taken effect.
+  private Future<Void> readAndRelease(long limitMs, Throwable cause) {
+    return read()
+        .transform(
+            read -> {
+              if (read.succeeded()) {
+                return releaseUnspent(limitMs);
+              }
+              return clock.millis() >= limitMs
+                  ? abandonRelease(cause.getMessage())
+                  : delay().compose(waited -> readAndRelease(limitMs, cause));
+            });
+  }
+
+  private Future<Void> retryRelease(long limitMs, String cause) {
+    return clock.millis() >= limitMs
+        ? abandonRelease(cause)
+        : delay().compose(waited -> releaseUnspent(limitMs));
+  }
+
+  private Future<Void> abandonRelease(String cause) {
+    log.line("slices_not_released")
+        .put("partition", partitionNumber)
+        .put("cause", String.valueOf(cause))
+        .write();
+    return Future.succeededFuture();
+  }
+
+  private Future<Void> delay() {
+    return vertx.timer(RETRY_MS, TimeUnit.MILLISECONDS).mapEmpty();
+  }
+
+  private Future<Void> appendRelease(AllowancePartition.Append release) {
+    return store
+        .append(
+            TOPIC,
+            partitionNumber,
+            Optional.of(release.expectedEnd()),
+            toRecords(release.grants(), List.of()))
+        .onSuccess(end -> partition.appendSucceeded(release, end, clock.millis()))
+        .onFailure(
+            e -> {
+              if (isNotDone(e)) {
+                partition.releaseFailed();
+              }
+            })
+        .mapEmpty();
+  }
+
+  private static boolean isNotDone(Throwable cause) {
+    return cause instanceof StoreException failure
+        && failure.kind() == StoreException.Kind.NOT_DONE;
   }
 
   // The other holder may have released its slice since this VM read its record.
   private void decideAfterRefresh(
       String program, long budgetTokens, long turnTokens, Promise<TokenBudgets.Verdict> promise) {
-    if (partition.newestSliceHolder(program).isEmpty()) {
+    if (partition.otherSliceHolder(program).isEmpty()) {
       decide(program, budgetTokens, turnTokens, promise);
       return;
     }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
@@ -136,9 +136,9 @@
     holderOf(note.program()).onUsageNote(note);
   }
 
-  /** Returns the name of the holder of the program's newest slice, if it is not this VM's. */
+  /** Returns the name of another holder that may have unspent tokens of the program. */
   Optional<String> localNewestSliceHolder(String program) {
-    return holderOf(program).newestSliceHolder(program);
+    return holderOf(program).otherSliceHolder(program);
   }
 
   /** Returns the tokens that this VM knows to be used of a program's budget. */
@@ -276,11 +276,11 @@
     draining = true;
   }
 
-  /** Releases unspent tokens; completes when the calls to the store have succeeded or failed. */
-  Future<Void> release() {
+  /** Releases unspent tokens; completes when they are released, or at the limit. */
+  Future<Void> release(long limitMs) {
     draining = true;
     List<Future<Void>> released = new ArrayList<>();
-    holders.values().forEach(holder -> released.add(holder.release()));
+    holders.values().forEach(holder -> released.add(holder.release(limitMs)));
     return Future.join(released).<Void>mapEmpty().otherwiseEmpty();
   }
 
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -480,17 +480,28 @@
 
   /**
    * Releases the budgets last, because other VMs use the budget slices of this one until it exits.
-   * Requests that arrive meanwhile are still answered.
+   * Requests that arrive meanwhile are still answered, and what they leave unspent is released too.
    */
   private void releaseBudgets(long limitMs, Promise<Void> done) {
-    Runnable complete = () -> withinStopTime(turnHistory.stop(), () -> completeStop(done));
-    withinStopTime(allowances.release(), () -> awaitIdle(clock.millis(), limitMs, complete));
+    long releaseLimitMs = Math.max(limitMs, clock.millis() + RELEASE_TIMEOUT_MS);
+    Runnable storeRest = () -> storeRest(() -> completeStop(done));
+    within(
+        releaseLimitMs,
+        allowances.release(releaseLimitMs),
+        () -> awaitIdle(clock.millis(), limitMs, storeRest));
+  }
+
+  // Requests that ended during the first release have returned tokens and kept turns.
+  private void storeRest(Runnable next) {
+    long restLimitMs = clock.millis() + RELEASE_TIMEOUT_MS;
+    Future<Void> budgets = allowances.release(restLimitMs);
+    within(restLimitMs, Future.join(budgets, turnHistory.stop()).mapEmpty(), next);
   }
 
   // A call to the store that gets no response must not use up the stop's time.
-  private void withinStopTime(Future<Void> call, Runnable next) {
+  private void within(long limitMs, Future<Void> call, Runnable next) {
     Promise<Void> ended = Promise.promise();
-    vertx.setTimer(RELEASE_TIMEOUT_MS, timedOut -> ended.tryComplete());
+    vertx.setTimer(Math.max(1, limitMs - clock.millis()), timedOut -> ended.tryComplete());
     call.onComplete(done -> ended.tryComplete());
     ended.future().onComplete(done -> next.run());
   }
--- a/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
+++ b/magnoliaroute-daemon/src/test/java/io/magnoliaroute/daemon/gateway/GatewayTestEnvironment.java
@@ -397,6 +397,11 @@
     return Await.result(TestRuntime.callOnContext(vmVertx, () -> vm.isStoreUnavailable()));
   }
 
+  boolean storeUnavailableAtSecondVm() {
+    return Await.result(
+        TestRuntime.callOnContext(secondVertx, () -> secondVm.isStoreUnavailable()));
+  }
+
   /** Pauses the first VM, as a freeze of its process does, until the result runs. */
   Runnable pauseVm() {
     return TestRuntime.pause(vmVertx);
@@ -429,9 +434,14 @@
 
   /** Sends one turn of each program to the second VM and returns the status codes. */
   List<Integer> sendTurnsToSecondVm(int programs, long budget, long maxTokens) {
+    return sendTurnsToSecondVm("p", programs, budget, maxTokens);
+  }
+
+  /** Sends one turn of each program, named by the prefix and a number, to the second VM. */
+  List<Integer> sendTurnsToSecondVm(String prefix, int programs, long budget, long maxTokens) {
     List<Integer> statuses = new ArrayList<>();
     for (int i = 0; i < programs; i++) {
-      Map<String, String> headers = turnHeaders("p" + i, budget, maxTokens);
+      Map<String, String> headers = turnHeaders(prefix + i, budget, maxTokens);
       headers.put("X-Request-Id", String.valueOf(++lastRequestId));
       statuses.add(
           Await.result(client.send(secondVm.clientPort(), HttpMethod.POST, "/stream/x", headers))
