Token budgets: 402 only after all that other holders have is asked for

Cause: a VM that holds the newest slice called the budget spent without reading what others had released; nobody asked the VM that had been first before for its slice; two rests too small for a turn were lost for both holders; and a VM whose release is under way answered that it has none.

Fix: a VM reads to the end of the partition before it calls a budget spent, and names the last other holder that has not released its slice. That holder grants the turn, releases a rest that is too small for it, or says that it cannot tell yet, which is a 503 with Retry-After. If it has nothing left or has ended, the first VM decides once more. Holders that are not the first release slices that have been idle for 2 s.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceHolder.java
@@ -39,6 +39,9 @@
   /** Records older than this are read again before a decision on a program not known yet. */
   private static final long MAX_STALENESS_MS = 1_000;
 
+  /** Time without a turn after which a holder that is not the program's first gives slices back. */
+  private static final long IDLE_SLICE_MS = 2_000;
+
   private static final long RETRY_MS = 50;
   private static final long NO_CALL = -1;
 
@@ -55,6 +58,8 @@
   private Consumer<PeerMessage.UsageNote> recordListener = note -> {};
   private boolean released;
 
+  private record Turn(String program, long budgetTokens, long tokens) {}
+
   AllowanceHolder(
       Vertx vertx,
       StoreClient store,
@@ -90,9 +95,7 @@
   Future<TokenBudgets.Verdict> reserve(
       String program, long budgetTokens, long turnTokens, int deciders, TokenBudgets.Mode mode) {
     if (mode == TokenBudgets.Mode.OWN_SLICE) {
-      ReservationResult decision =
-          partition.reserveFromOwnSlices(program, turnTokens, clock.millis());
-      return Future.succeededFuture(toVerdict(decision));
+      return reserveFromOwnSlices(program, turnTokens);
     }
     if (released) {
       return Future.succeededFuture(TokenBudgets.Verdict.UNABLE);
@@ -109,11 +112,37 @@
     Promise<TokenBudgets.Verdict> promise = Promise.promise();
     long timer = vertx.setTimer(DECISION_TIMEOUT_MS, fired -> onDecisionTimeout(promise));
     ensureCurrent(program)
-        .onSuccess(ready -> decideAfterRefresh(program, budgetTokens, turnTokens, promise))
+        .onSuccess(ready -> decide(new Turn(program, budgetTokens, turnTokens), false, promise))
         .onFailure(e -> promise.tryComplete(TokenBudgets.Verdict.UNABLE));
     return promise.future().onComplete(done -> vertx.cancelTimer(timer));
   }
 
+  // The rest of a slice may cover a turn together with what the requesting holder has left.
+  private Future<TokenBudgets.Verdict> reserveFromOwnSlices(String program, long turnTokens) {
+    ReservationResult decision =
+        partition.reserveFromOwnSlices(program, turnTokens, clock.millis());
+    boolean hasRest =
+        decision == ReservationResult.EXHAUSTED && partition.unspentTokens(program) > 0;
+    if (!hasRest) {
+      return Future.succeededFuture(toVerdict(decision));
+    }
+    return releaseRest(program)
+        .recover(
+            e ->
+                StoreException.isConflict(e)
+                    ? read().compose(read -> releaseRest(program))
+                    : Future.failedFuture(e))
+        .onFailure(this::onReleaseFailed)
+        .map(TokenBudgets.Verdict.EXHAUSTED)
+        .otherwise(TokenBudgets.Verdict.UNABLE);
+  }
+
+  private Future<Void> releaseRest(String program) {
+    Optional<AllowancePartition.Append> release =
+        health.isUnavailable() ? Optional.empty() : partition.nextRelease(program);
+    return release.isEmpty() ? Future.failedFuture("not now") : appendRelease(release.get());
+  }
+
   void settle(String program, long reservedTokens, long deliveredTokens) {
     partition.settle(program, reservedTokens, deliveredTokens, clock.millis());
   }
@@ -229,6 +258,24 @@
     return partition.isLoaded() ? releaseUnspent(limitMs) : Future.succeededFuture();
   }
 
+  /**
+   * Releases the unspent tokens of programs whose turns have come to other holders for some time,
+   * as those cannot grant them.
+   */
+  void releaseIdle() {
+    if (released || health.isUnavailable()) {
+      return;
+    }
+    Optional<AllowancePartition.Append> next = partition.nextRelease(IDLE_SLICE_MS, clock.millis());
+    next.ifPresent(release -> appendRelease(release).onFailure(this::onReleaseFailed));
+  }
+
+  private void onReleaseFailed(Throwable cause) {
+    if (cause instanceof StoreException && !isNotDone(cause)) {
+      onAppendFailed(cause);
+    }
+  }
+
   private Future<Void> releaseUnspent(long limitMs) {
     if (partition.isAppending()) {
       return retryRelease(limitMs, "an append is in progress");
@@ -303,36 +350,38 @@
         && failure.kind() == StoreException.Kind.NOT_DONE;
   }
 
-  // The other holder may have released its slice since this VM read its record.
-  private void decideAfterRefresh(
-      String program, long budgetTokens, long turnTokens, Promise<TokenBudgets.Verdict> promise) {
-    if (partition.otherSliceHolder(program).isEmpty()) {
-      decide(program, budgetTokens, turnTokens, promise);
-      return;
-    }
-    joinOrStartLoad(this::read)
-        .onComplete(read -> decide(program, budgetTokens, turnTokens, promise));
-  }
-
-  private void decide(
-      String program, long budgetTokens, long turnTokens, Promise<TokenBudgets.Verdict> promise) {
+  private void decide(Turn turn, boolean isCurrent, Promise<TokenBudgets.Verdict> promise) {
     if (promise.future().isComplete()) {
       return;
     }
     ReservationResult decision =
-        partition.reserve(program, budgetTokens, turnTokens, clock.millis());
+        partition.reserve(turn.program(), turn.budgetTokens(), turn.tokens(), clock.millis());
+    if (decision == ReservationResult.EXHAUSTED && !isCurrent) {
+      // Other holders may have released slices since this VM read their records.
+      readAgain()
+          .onSuccess(read -> decide(turn, true, promise))
+          .onFailure(e -> promise.tryComplete(TokenBudgets.Verdict.UNABLE));
+      return;
+    }
     if (decision == ReservationResult.WAIT) {
       if (health.isUnavailableOrSlow()) {
         promise.tryComplete(TokenBudgets.Verdict.UNABLE);
         return;
       }
-      waitingDecisions.add(() -> decide(program, budgetTokens, turnTokens, promise));
+      waitingDecisions.add(() -> decide(turn, false, promise));
     } else {
       promise.tryComplete(toVerdict(decision));
     }
     append();
   }
 
+  // A read in progress may have begun before the newest records were written.
+  private Future<Void> readAgain() {
+    Future<Void> earlier =
+        pendingLoad == null ? Future.succeededFuture() : pendingLoad.otherwiseEmpty();
+    return earlier.compose(done -> joinOrStartLoad(this::read));
+  }
+
   private void onDecisionTimeout(Promise<TokenBudgets.Verdict> promise) {
     if (callStartedMs != NO_CALL) {
       health.recordCallTime(clock.millis() - callStartedMs);
@@ -466,16 +515,19 @@
             });
   }
 
+  /** Reads the records that follow, to the end of the partition. */
   private Future<Void> read() {
     if (health.isUnavailable()) {
       return Future.failedFuture("the store is unavailable");
     }
-    return trackCallStart(store.read(TOPIC, partitionNumber, partition.end(), 0))
-        .map(
+    long start = partition.end();
+    return trackCallStart(store.read(TOPIC, partitionNumber, start, 0))
+        .compose(
             page -> {
               partition.applyRecords(
                   decodeGrants(page.records()), page.nextOffset(), clock.millis());
-              return (Void) null;
+              boolean isAtEnd = page.nextOffset() >= page.end() || page.nextOffset() <= start;
+              return isAtEnd ? Future.<Void>succeededFuture() : read();
             })
         .recover(e -> StoreException.isExpired(e) ? readNewest() : Future.failedFuture(e));
   }
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
@@ -137,7 +137,7 @@
   }
 
   /** Returns the name of another holder that may have unspent tokens of the program. */
-  Optional<String> localNewestSliceHolder(String program) {
+  Optional<String> localOtherSliceHolder(String program) {
     return holderOf(program).otherSliceHolder(program);
   }
 
@@ -156,7 +156,13 @@
         holderOf(partition).ensureLoaded();
       }
     }
-    holders.values().forEach(holder -> holder.recordUnrecordedTurns(this::hasEnded));
+    holders.forEach(
+        (partition, holder) -> {
+          holder.recordUnrecordedTurns(this::hasEnded);
+          if (!ranked(partition).get(0).equals(self)) {
+            holder.releaseIdle();
+          }
+        });
   }
 
   private boolean hasEnded(String holder) {
@@ -228,7 +234,7 @@
         0,
         Verdict.UNABLE.name(),
         localUsedTokens(request.program()),
-        localNewestSliceHolder(request.program()).orElse(""),
+        localOtherSliceHolder(request.program()).orElse(""),
         holderOf(request.program()).unrecordedUse(request.program()),
         recovery.isRestarted(),
         recovery.startedInOutage());
@@ -306,40 +312,66 @@
             reply ->
                 switch (reply.reservation().verdict()) {
                   case UNABLE -> reserveAtCandidates(candidates, next + 1, turn, mode);
-                  case EXHAUSTED -> reserveInExistingSlice(reply, turn);
+                  case EXHAUSTED -> reserveInExistingSlice(reply, candidate, turn, mode);
                   default -> Future.succeededFuture(reply.reservation());
                 });
   }
 
-  /** A VM's reply, with the holder of the newest slice if that is another VM, else empty. */
-  private record HolderReply(Reservation reservation, String newestSliceHolder) {}
+  /** A VM's reply, with another holder that may have unspent tokens, else empty. */
+  private record HolderReply(Reservation reservation, String otherSliceHolder) {}
 
   /**
-   * Requests the tokens from the holder of the newest slice. Other VMs count that slice as spent,
-   * but its holder may have unspent tokens in it.
+   * Requests the tokens from another holder. The decider counts that holder's slice as spent, but
+   * there may be unspent tokens in it, or it may just have released them. The budget counts as
+   * exhausted only once that holder has none.
    */
-  private Future<Reservation> reserveInExistingSlice(HolderReply exhaustedReply, Turn turn) {
-    Optional<VmEntry> sliceHolder = vmOf(exhaustedReply.newestSliceHolder());
+  private Future<Reservation> reserveInExistingSlice(
+      HolderReply exhaustedReply, VmEntry decider, Turn turn, Mode mode) {
+    Optional<VmEntry> sliceHolder = vmOf(exhaustedReply.otherSliceHolder());
     if (sliceHolder.isEmpty()
         || peers.unreachableForMs(sliceHolder.get().address()) > HOLDER_LOST_AFTER_MS) {
       return Future.succeededFuture(exhaustedReply.reservation());
     }
     Reservation withheld = reservation(Verdict.WITHHELD, turn, sliceHolder.get(), 0);
+    // A VM that has left the list has released its slices before it ended, if it could.
+    boolean mayHaveReleased =
+        mode == Mode.RECORDED && !vmDirectory.isPresent(sliceHolder.get().vm());
     if (peers.isUnreachable(sliceHolder.get().address())) {
-      boolean present = vmDirectory.isPresent(sliceHolder.get().vm());
-      return Future.succeededFuture(present ? withheld : exhaustedReply.reservation());
+      return mayHaveReleased
+          ? reserveReleased(exhaustedReply, decider, turn, mode)
+          : Future.succeededFuture(withheld);
     }
     return reserveAt(sliceHolder.get(), turn, Mode.OWN_SLICE)
+        .transform(
+            asked -> {
+              if (asked.failed()) {
+                return mayHaveReleased
+                    ? reserveReleased(exhaustedReply, decider, turn, mode)
+                    : Future.succeededFuture(withheld);
+              }
+              Reservation reply = asked.result().reservation();
+              return switch (reply.verdict()) {
+                case GRANTED -> Future.succeededFuture(reply);
+                case EXHAUSTED -> reserveReleased(exhaustedReply, decider, turn, mode);
+                default -> Future.succeededFuture(withheld);
+              };
+            });
+  }
+
+  // The other holder may have released its slice after the decider had read its record.
+  private Future<Reservation> reserveReleased(
+      HolderReply exhaustedReply, VmEntry decider, Turn turn, Mode mode) {
+    if (mode != Mode.RECORDED) {
+      return Future.succeededFuture(exhaustedReply.reservation());
+    }
+    return reserveAt(decider, turn, mode)
+        .map(HolderReply::reservation)
         .map(
-            reply ->
-                reply.reservation().verdict() == Verdict.GRANTED
-                    ? reply.reservation()
-                    : exhaustedReply.reservation())
-        .otherwise(
-            e ->
-                vmDirectory.isPresent(sliceHolder.get().vm())
-                    ? withheld
-                    : exhaustedReply.reservation());
+            again ->
+                again.verdict() == Verdict.UNABLE
+                    ? reservation(Verdict.WITHHELD, turn, decider, 0)
+                    : again)
+        .otherwise(e -> reservation(Verdict.WITHHELD, turn, decider, 0));
   }
 
   private Optional<VmEntry> vmOf(String holder) {
@@ -356,7 +388,7 @@
               verdict ->
                   new HolderReply(
                       reservation(verdict, turn, self, localUsedTokens(turn.program())),
-                      localNewestSliceHolder(turn.program()).orElse("")));
+                      localOtherSliceHolder(turn.program()).orElse("")));
     }
     long requestId = peers.nextRequestId();
     return peers
--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/PeerMessageHandler.java
@@ -198,7 +198,7 @@
                       allowanceRequest.turnTokens(),
                       verdict.name(),
                       allowances.localUsedTokens(allowanceRequest.program()),
-                      allowances.localNewestSliceHolder(allowanceRequest.program()).orElse(""),
+                      allowances.localOtherSliceHolder(allowanceRequest.program()).orElse(""),
                       List.of(),
                       false,
                       false));
