Token budgets: the decider is not asked for slices of its earlier start

Cause: after a restart, the last other holder of a program may be an earlier start of the VM that decides. It was asked for a turn from that holder's slice, which it cannot have, and with the release of rests this would have cost an append for each program that is spent after a restart. Found by reading; no caller saw it. BudgetReleaseTest, BudgetRecoveryTest, GatewayTest and the tests of the accounts pass.

--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/AllowanceService.java
@@ -329,6 +329,7 @@
       HolderReply exhaustedReply, VmEntry decider, Turn turn, Mode mode) {
     Optional<VmEntry> sliceHolder = vmOf(exhaustedReply.otherSliceHolder());
     if (sliceHolder.isEmpty()
+        || sliceHolder.get().vm().equals(decider.vm())
         || peers.unreachableForMs(sliceHolder.get().address()) > HOLDER_LOST_AFTER_MS) {
       return Future.succeededFuture(exhaustedReply.reservation());
     }
