--- a/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
+++ b/magnoliaroute-daemon/src/main/java/io/magnoliaroute/daemon/gateway/GatewayNode.java
@@ -81,8 +81,8 @@
   private static final long STOP_MARGIN_MS = 700;
 
   /**
-   * Time-out of the release of budgets; many times the usual response time of the store, and less
-   * than the stop limit leaves ({@link #STOP_MARGIN_MS}).
+   * The least time that a step of the stop gets to write to the store: many times its usual
+   * response time. The two steps take less than the stop limit leaves ({@link #STOP_MARGIN_MS}).
    */
   private static final long RELEASE_TIMEOUT_MS = 300;
 
